--- a/tests/config/settingstest.cpp
+++ b/tests/config/settingstest.cpp
@@ -1,8 +1,9 @@
 #include "config/settings.h"
 
+#include "config/texts.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <algorithm>
 #include <string>
 
 namespace Geraniumsail {
@@ -15,18 +16,6 @@
     "controlAllow": ["127.0.0.0/8"], "seeds": ["127.0.1.2:7003"], "store": "127.0.0.1:7900",
     "randomSeed": 7, "switches": {"admission": false}})";
 
-std::string replaced(std::string text, const std::string &from, const std::string &to)
-{
-    const auto at = text.find(from);
-    CPPUNIT_ASSERT_MESSAGE(from, at != std::string::npos);
-    return text.replace(at, from.size(), to);
-}
-
-bool hasProblemAt(const Problems &problems, const std::string &field)
-{
-    return std::any_of(problems.begin(), problems.end(), [&](const Problem &p) { return p.field == field; });
-}
-
 void assertProblem(const std::string &text, const std::string &field)
 {
     const auto result = parseNodeSettings(text, "node.json");
