--- /dev/null
+++ b/src/core/thresholdcontroller.cpp
@@ -0,0 +1,108 @@
+#include "core/thresholdcontroller.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace Geraniumsail {
+
+namespace {
+
+constexpr std::size_t BucketsPerRank = 64;
+constexpr std::size_t ScoresPerBucket = 65536 / BucketsPerRank;
+/// Weight of the newest window in the smoothed demand.
+constexpr double DemandWeight = 0.2;
+/// A backlog over the target is removed within this many target delays.
+constexpr double DrainTargets = 5.0;
+/// Largest step of the correction in one window.
+constexpr double CorrectionStep = 0.02;
+constexpr double MinCorrection = 0.2;
+constexpr double MaxCorrection = 5.0;
+
+/// Slots; keeps the time to drain finite while other work uses all capacity.
+constexpr double MinCapacity = 0.01;
+/// Seconds; a target delay of zero would make the threshold jump between its extremes.
+constexpr double MinTarget = 0.001;
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+ThresholdController::ThresholdController(Rank firstRank, std::size_t ranks)
+    : m_firstRank(firstRank), m_ranks(ranks), m_arrived(ranks * BucketsPerRank), m_demand(ranks * BucketsPerRank)
+{
+}
+
+std::size_t ThresholdController::bucketOf(const Priority &priority) const
+{
+    const int offset = std::clamp(priority.rank.value() - m_firstRank.value(), 0, static_cast<int>(m_ranks) - 1);
+    return static_cast<std::size_t>(offset) * BucketsPerRank + priority.score.value() / ScoresPerBucket;
+}
+
+void ThresholdController::arrived(const Priority &priority, double slotSeconds)
+{
+    m_arrived[bucketOf(priority)] += slotSeconds;
+}
+
+void ThresholdController::closeWindow(const ThresholdWindowReport &window)
+{
+    smoothDemand(window.length);
+    const double target = seconds(window.targetDelay);
+    const double capacity = std::max(window.capacity, MinCapacity);
+    const double targetBacklog = std::max(capacity * target, window.oneRequest);
+    const double drainTime = DrainTargets * std::max({targetBacklog / capacity, target, MinTarget});
+    updateCorrection(targetBacklog, window.backlog);
+    const double drain = (targetBacklog - window.backlog) / drainTime;
+    m_threshold = thresholdFor(std::max(0.0, capacity * m_correction + drain));
+}
+
+void ThresholdController::updateCorrection(double targetBacklog, double backlog)
+{
+    if (m_threshold.last && targetBacklog > 0.0) {
+        const double error = std::clamp((targetBacklog - backlog) / targetBacklog, -1.0, 1.0);
+        m_correction = std::clamp(m_correction * (1.0 + CorrectionStep * error), MinCorrection, MaxCorrection);
+    } else {
+        m_correction += (1.0 - m_correction) * CorrectionStep;
+    }
+}
+
+void ThresholdController::smoothDemand(Duration length)
+{
+    const double perSecond = 1.0 / std::max(seconds(length), 1e-6);
+    for (std::size_t i = 0; i < m_demand.size(); ++i) {
+        m_demand[i] += DemandWeight * (m_arrived[i] * perSecond - m_demand[i]);
+        m_arrived[i] = 0.0;
+    }
+}
+
+Threshold ThresholdController::thresholdFor(double allowed) const
+{
+    double before = 0.0;
+    for (std::size_t i = 0; i < m_demand.size(); ++i) {
+        if (before + m_demand[i] > allowed) {
+            const double part = (allowed - before) / m_demand[i];
+            const auto score = (i % BucketsPerRank) * ScoresPerBucket
+                + static_cast<std::size_t>(part * static_cast<double>(ScoresPerBucket));
+            const auto rank = m_firstRank.value() + i / BucketsPerRank;
+            return Threshold{Priority{Rank(static_cast<std::uint8_t>(rank)),
+                                      AdmissionScore(static_cast<std::uint16_t>(std::min<std::size_t>(score, 65535)))}};
+        }
+        before += m_demand[i];
+    }
+    return Threshold{};
+}
+
+const Threshold &ThresholdController::threshold() const
+{
+    return m_threshold;
+}
+
+double ThresholdController::demand() const
+{
+    return std::accumulate(m_demand.begin(), m_demand.end(), 0.0);
+}
+
+} // namespace Geraniumsail
