--- a/src/config/canonical.cpp
+++ b/src/config/canonical.cpp
@@ -66,7 +66,7 @@
     return json.dump();
 }
 
-std::string contentHash(std::string_view text)
+std::string textHash(std::string_view text)
 {
     const auto hash = XXH3_128bits(text.data(), text.size());
     std::array<char, 33> digits{};
--- a/src/config/document.h
+++ b/src/config/document.h
@@ -18,7 +18,7 @@
 namespace Geraniumsail {
 
 /// Largest value that the platform's store accepts.
-constexpr std::size_t MaxDocumentBytes = 1'000'000;
+constexpr std::size_t MaxTextBytes = 1'000'000;
 /// Name of the document of all links; no service can have it.
 constexpr const char *LinksDocumentName = "links";
 
@@ -32,7 +32,7 @@
 std::string canonicalText(const std::vector<LinkPolicy> &links);
 
 /// 128-bit xxhash of a text as 32 hexadecimal digits. It detects changes; it does not protect against forgery.
-std::string contentHash(std::string_view text);
+std::string textHash(std::string_view text);
 
 } // namespace Geraniumsail
 
--- a/src/config/reader.cpp
+++ b/src/config/reader.cpp
@@ -1,9 +1,7 @@
 #include "config/reader.h"
 
+#include "config/settings.h"
 #include "core/callcontext.h"
-#include "core/text.h"
-
-#include <arpa/inet.h>
 
 #include <cmath>
 #include <utility>
@@ -103,19 +101,6 @@
     return value;
 }
 
-bool isAddress(std::string_view text)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos) {
-        return false;
-    }
-    in_addr parsed{};
-    const bool ip = inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &parsed) == 1;
-    // inet_pton stops at a null byte; the text must not hide one.
-    const bool clean = text.find('\0') == std::string_view::npos;
-    return ip && clean && parseNumber<std::uint16_t>(text.substr(colon + 1)).value_or(0) > 0;
-}
-
 ObjectReader::ObjectReader(const Json &object, std::string file, std::string path, Problems &problems)
     : m_object(object.is_object() ? object : emptyObject()), m_file(std::move(file)), m_path(std::move(path)),
       m_problems(problems)
--- a/src/config/reader.h
+++ b/src/config/reader.h
@@ -64,9 +64,6 @@
     std::set<std::string> m_known;
 };
 
-/// True for "ip:port" with an IPv4 address and a port from 1 to 65535.
-bool isAddress(std::string_view text);
-
 } // namespace Geraniumsail
 
 #endif
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -19,6 +19,7 @@
 std::optional<std::uint32_t> parseIpv4(std::string_view text)
 {
     in_addr parsed{};
+    // inet_pton stops at a null byte; the text must not hide one.
     if (text.find('\0') != std::string_view::npos || inet_pton(AF_INET, std::string(text).c_str(), &parsed) != 1) {
         return std::nullopt;
     }
@@ -123,6 +124,15 @@
 
 } // namespace
 
+bool isAddress(std::string_view text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return false;
+    }
+    return parseIpv4(text.substr(0, colon)) && parseNumber<std::uint16_t>(text.substr(colon + 1)).value_or(0) > 0;
+}
+
 std::optional<AddressRange> AddressRange::parse(std::string_view text)
 {
     const auto slash = text.find('/');
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -17,6 +17,9 @@
 
 namespace Geraniumsail {
 
+/// True for "ip:port" with an IPv4 address and a port from 1 to 65535.
+bool isAddress(std::string_view text);
+
 /// A range of IPv4 addresses in CIDR notation.
 class AddressRange
 {
--- a/src/standin/mainload.cpp
+++ b/src/standin/mainload.cpp
@@ -1,7 +1,5 @@
 // Load program with open-loop arrivals.
-#include "core/version.h"
-
-#include <docopt/docopt.h>
+#include "cli/arguments.h"
 
 #include <iostream>
 
@@ -18,6 +16,6 @@
 
 int main(int argc, char *argv[])
 {
-    docopt::docopt(Usage, {argv + 1, argv + argc}, true, Geraniumsail::Version);
+    Geraniumsail::parseArguments(Usage, argc, argv);
     return 0;
 }
