Add membership, configuration view, publication and store sync to the core

Cause: nodes have to know all upstreams and the configuration in force without a coordination service of our own (docs/design.md, sections 4 and 5). Ruled out: full tables in each exchange (490 KB per join at once), deltas without digests (a lost update would stay lost). Change: pure state machines with time and random source as arguments; records ordered by (incarnation, sequence, state), digests per data centre and bucket, paced transfers, rendezvous choice of relays and watchers; the publication concludes a lost answer only from a manifest that was read afterwards. Conclusion: the code compiles without warnings; behaviour is untested so far.

--- /dev/null
+++ b/src/core/controlmessages.h
@@ -0,0 +1,164 @@
+// The control messages between nodes as values. src/node/controlcodec.h gives them their JSON form.
+#ifndef GERANIUMSAIL_CORE_CONTROLMESSAGES_H
+#define GERANIUMSAIL_CORE_CONTROLMESSAGES_H
+
+#include "core/configview.h"
+#include "core/membertable.h"
+#include "core/reachview.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace Geraniumsail {
+
+/// Upper bounds of the lists of a message, for the sender and the strict decoder alike.
+constexpr std::size_t MaxUpdates = 16;
+constexpr std::size_t MaxTransferRecords = 80;
+constexpr std::size_t MaxDataCentres = 64;
+constexpr std::size_t MaxBucketLists = 2;
+constexpr std::size_t MaxServicesPerFetch = 32;
+constexpr std::size_t MaxDocumentsPerMessage = 64;
+constexpr std::size_t MaxHeads = 2048;
+
+struct DataCentreDigest
+{
+    DataCentreName dataCentre;
+    std::uint64_t digest = 0;
+
+    bool operator==(const DataCentreDigest &) const = default;
+};
+
+struct DataCentreBuckets
+{
+    DataCentreName dataCentre;
+    BucketDigests buckets{};
+
+    bool operator==(const DataCentreBuckets &) const = default;
+};
+
+/// Probe, updates and digests in one message.
+struct SyncMessage
+{
+    NodeName to; ///< Empty if the sender knows only the address (a seed).
+    MemberRecord self;
+    std::vector<MemberRecord> updates;
+    std::vector<DataCentreDigest> digests;
+    std::uint64_t config = 0; ///< Digest of all configuration documents.
+    std::vector<Reachability> reach; ///< Only within a data centre.
+
+    bool operator==(const SyncMessage &) const = default;
+};
+
+struct SyncReply
+{
+    MemberRecord self;
+    std::vector<MemberRecord> updates;
+    std::vector<DataCentreBuckets> buckets; ///< Of data centres whose digests differ, at most MaxBucketLists.
+    std::uint64_t config = 0;
+    std::vector<std::uint32_t> configBuckets; ///< Empty if the configuration digests agree.
+    std::vector<Reachability> reach;
+
+    bool operator==(const SyncReply &) const = default;
+};
+
+/// Asks the receiver to probe target on the sender's behalf.
+struct IndirectProbe
+{
+    NodeName target;
+    Address address;
+
+    bool operator==(const IndirectProbe &) const = default;
+};
+
+struct ProbeReply
+{
+    bool reached = false;
+
+    bool operator==(const ProbeReply &) const = default;
+};
+
+/// Asks for records: of services if any are named, else of buckets of a data centre. In the order of names.
+struct FetchMembers
+{
+    std::vector<ServiceName> services;
+    DataCentreName dataCentre;
+    std::vector<std::size_t> buckets;
+    NodeName after; ///< Names up to this one were received before.
+    std::size_t limit = 0;
+
+    bool operator==(const FetchMembers &) const = default;
+};
+
+struct MembersReply
+{
+    std::vector<MemberRecord> records;
+    bool more = false;
+
+    bool operator==(const MembersReply &) const = default;
+};
+
+struct PushConfig
+{
+    std::vector<ConfigDocument> documents;
+
+    bool operator==(const PushConfig &) const = default;
+};
+
+struct PushReply
+{
+    std::size_t applied = 0;
+
+    bool operator==(const PushReply &) const = default;
+};
+
+/// Asks for documents of the buckets that are newer than the heads, or for named documents.
+struct FetchConfig
+{
+    std::vector<DocumentName> names;
+    std::vector<std::size_t> buckets;
+    std::vector<ConfigHead> heads;
+    std::size_t maxBytes = 0;
+
+    bool operator==(const FetchConfig &) const = default;
+};
+
+struct ConfigReply
+{
+    std::vector<ConfigDocument> documents;
+    std::vector<DocumentName> wanted; ///< Documents of which the asking node has a newer version.
+
+    bool operator==(const ConfigReply &) const = default;
+};
+
+using ControlRequest = std::variant<SyncMessage, IndirectProbe, FetchMembers, PushConfig, FetchConfig>;
+using ControlReply = std::variant<SyncReply, ProbeReply, MembersReply, PushReply, ConfigReply>;
+
+/// Why a request was sent; decides what its failure means.
+enum class RequestPurpose {
+    Probe, ///< Direct probe of a member of the own data centre.
+    Helper, ///< Probe through another member.
+    Join, ///< To a seed or contact.
+    DeadCheck, ///< To a member that is held dead, in case the group was split and is whole again.
+    CrossDataCentre,
+    Resync, ///< After a pause.
+    Farewell,
+    Transfer, ///< Records or documents that digests showed to be missing.
+    Push,
+};
+
+/// A request that the caller has to send. It is handed back with the answer or with the failure.
+struct Outgoing
+{
+    NodeName to; ///< Empty for a seed.
+    Address address;
+    Duration timeout{};
+    RequestPurpose purpose = RequestPurpose::Probe;
+    DataCentreName dataCentre; ///< Of the receiver, if known.
+    ControlRequest request;
+};
+
+} // namespace Geraniumsail
+
+#endif
--- /dev/null
+++ b/src/core/publisher.cpp
@@ -0,0 +1,277 @@
+#include "core/publisher.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Geraniumsail {
+
+namespace {
+
+constexpr Duration FirstRetryDelay = std::chrono::milliseconds(100);
+constexpr int MaxRetryDoublings = 5;
+
+std::uint64_t milliseconds(WallTime time)
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count());
+}
+
+} // namespace
+
+Publication::Publication(std::string id, std::vector<DocumentChange> changes, ManifestCodec codec,
+                         PublicationOptions options)
+    : m_id(std::move(id))
+    , m_changes(std::move(changes))
+    , m_codec(std::move(codec))
+    , m_options(options)
+{
+}
+
+std::optional<StoreCall> Publication::next(WallTime now)
+{
+    StoreCall call;
+    switch (m_step) {
+    case Step::Read:
+        call.operation = StoreOperation::Get;
+        call.key = ManifestKey;
+        return call;
+    case Step::Blobs: {
+        const auto &change = m_changes[m_blob];
+        call.operation = StoreOperation::Put;
+        call.key = blobKey(change.name, contentHash(change.text));
+        call.value = change.text;
+        return call;
+    }
+    case Step::Swap:
+        if (!m_lostSwap) {
+            m_proposal = m_manifest;
+            for (const auto &change : m_changes) {
+                auto &entry = m_proposal[change.name];
+                const std::string hash = contentHash(change.text);
+                if (entry.hash == hash && entry.version > ConfigVersion(0)) {
+                    continue;
+                }
+                const std::uint64_t base = change.base ? change.base->value() : 0;
+                const std::uint64_t previous = std::max({entry.version.value(), base, m_options.floor.value()});
+                entry.version = ConfigVersion(std::max(previous + 1, milliseconds(now)));
+                entry.hash = hash;
+                entry.publication = m_id;
+            }
+        }
+        call.operation = StoreOperation::Put;
+        call.key = ManifestKey;
+        call.value = m_codec.encode(m_proposal);
+        call.expectedRevision = m_revision;
+        return call;
+    case Step::AwaitNode:
+    case Step::Done:
+        break;
+    }
+    return std::nullopt;
+}
+
+void Publication::onResult(const StoreResult &result)
+{
+    if (result.status == StoreStatus::Failed) {
+        onFailure();
+        return;
+    }
+    switch (m_step) {
+    case Step::Read:
+        onManifest(result);
+        break;
+    case Step::Blobs:
+        onBlob(result);
+        break;
+    case Step::Swap:
+        onSwap(result);
+        break;
+    case Step::AwaitNode:
+    case Step::Done:
+        break;
+    }
+}
+
+void Publication::onFailure()
+{
+    if (m_step == Step::Swap) {
+        // The write may have taken effect, or may still do so.
+        m_lostSwap = m_revision;
+        m_everLost = true;
+        m_step = Step::Read;
+    }
+    if (++m_failures >= m_options.attemptsPerStep) {
+        if (m_everLost || m_everWritten) {
+            finish(PublicationOutcome::Unknown, "the store does not answer; publish again to confirm");
+        } else {
+            finish(PublicationOutcome::NotAccepted, "the store does not answer; nothing was published");
+        }
+    }
+}
+
+bool Publication::holdsOwn(const Manifest &manifest) const
+{
+    return std::any_of(m_changes.begin(), m_changes.end(), [&](const auto &change) {
+        const auto found = manifest.find(change.name);
+        return found != manifest.end() && found->second.publication == m_id
+            && found->second.hash == contentHash(change.text);
+    });
+}
+
+void Publication::written(const Manifest &manifest)
+{
+    m_everWritten = true;
+    m_lostSwap.reset();
+    m_result.versions.clear();
+    for (const auto &change : m_changes) {
+        const auto found = manifest.find(change.name);
+        if (found != manifest.end()) {
+            m_result.versions.push_back(
+                {change.name, found->second.version, found->second.hash.substr(0, HashStartLength)});
+        }
+    }
+    if (m_options.awaitNode) {
+        m_step = Step::AwaitNode;
+    } else {
+        finish(PublicationOutcome::Accepted, "accepted");
+    }
+}
+
+void Publication::onManifest(const StoreResult &result)
+{
+    m_failures = 0;
+    Manifest manifest;
+    if (result.status == StoreStatus::Ok) {
+        auto decoded = m_codec.decode(result.value);
+        if (!decoded) {
+            finish(m_everLost ? PublicationOutcome::Unknown : PublicationOutcome::NotAccepted,
+                   "the manifest in the store is damaged");
+            return;
+        }
+        manifest = std::move(*decoded);
+    }
+    const std::uint64_t revision = result.status == StoreStatus::Ok ? result.revision : 0;
+    if (holdsOwn(manifest)) {
+        written(manifest);
+        return;
+    }
+    // The content is compared too, because a store that was restored from an older copy counts its revisions anew.
+    if (m_lostSwap && revision == *m_lostSwap && manifest == m_manifest) {
+        m_step = Step::Swap;
+        return;
+    }
+    m_lostSwap.reset();
+    m_manifest = std::move(manifest);
+    m_revision = revision;
+    bool unchanged = true;
+    m_result.conflicts.clear();
+    for (const auto &change : m_changes) {
+        const auto found = m_manifest.find(change.name);
+        const bool exists = found != m_manifest.end();
+        if (exists && found->second.hash == contentHash(change.text)) {
+            continue;
+        }
+        unchanged = false;
+        const ConfigVersion version = exists ? found->second.version : ConfigVersion(0);
+        // A version below the base is a store that was restored from an older copy: the operator's base is still the
+        // newest, and the new version is above both.
+        if (change.base && version > *change.base) {
+            m_result.conflicts.push_back(change.name);
+        }
+    }
+    if (unchanged) {
+        written(m_manifest);
+        if (finished() && !m_everLost) {
+            m_result.outcome = PublicationOutcome::Unchanged;
+        }
+        return;
+    }
+    if (!m_result.conflicts.empty() && m_everWritten) {
+        finish(PublicationOutcome::Accepted, "accepted, and replaced by a later publication since");
+        return;
+    }
+    if (!m_result.conflicts.empty()) {
+        // After a lost answer the own version may have been published and then replaced by the other operator.
+        finish(m_everLost ? PublicationOutcome::Unknown : PublicationOutcome::Conflict,
+               "a document was changed by another publication");
+        return;
+    }
+    m_step = m_blobsWritten ? Step::Swap : Step::Blobs;
+}
+
+void Publication::onBlob(const StoreResult &result)
+{
+    // A conflict means that the blob exists; its key is its content hash.
+    if (result.status != StoreStatus::Ok && result.status != StoreStatus::Conflict) {
+        onFailure();
+        return;
+    }
+    m_failures = 0;
+    if (++m_blob == m_changes.size()) {
+        m_blobsWritten = true;
+        m_step = Step::Swap;
+    }
+}
+
+void Publication::onSwap(const StoreResult &result)
+{
+    if (result.status == StoreStatus::Ok) {
+        written(m_proposal);
+        return;
+    }
+    m_failures = 0;
+    m_step = Step::Read;
+    if (++m_rounds >= m_options.swapRounds) {
+        finish(m_everLost || m_everWritten ? PublicationOutcome::Unknown : PublicationOutcome::NotAccepted,
+               "other publications won every race for the manifest");
+    }
+}
+
+Duration Publication::retryDelay(Random &random) const
+{
+    const int tries = std::max(m_failures, m_rounds);
+    if (tries == 0) {
+        return Duration(0);
+    }
+    const Duration cap = FirstRetryDelay * (1 << std::min(tries - 1, MaxRetryDoublings));
+    return Duration(static_cast<Duration::rep>(random() % static_cast<std::uint64_t>(cap.count())));
+}
+
+bool Publication::awaitsNode() const
+{
+    return m_step == Step::AwaitNode;
+}
+
+void Publication::onNodeChecked(bool holds)
+{
+    if (m_step != Step::AwaitNode) {
+        return;
+    }
+    if (holds) {
+        finish(PublicationOutcome::Accepted, "accepted and in force at a node");
+        return;
+    }
+    // The store may have been restored from an older copy, with or without the blobs.
+    m_step = Step::Read;
+    m_blob = 0;
+    m_blobsWritten = false;
+}
+
+void Publication::finish(PublicationOutcome outcome, std::string reason)
+{
+    m_step = Step::Done;
+    m_result.outcome = outcome;
+    m_result.reason = std::move(reason);
+}
+
+bool Publication::finished() const
+{
+    return m_step == Step::Done;
+}
+
+const PublicationResult &Publication::result() const
+{
+    return m_result;
+}
+
+} // namespace Geraniumsail
--- /dev/null
+++ b/src/core/rendezvous.cpp
@@ -0,0 +1,31 @@
+#include "core/rendezvous.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <utility>
+
+namespace Geraniumsail {
+
+std::vector<NodeName> chooseByRendezvous(const MemberTable &table, const DataCentreName &dataCentre,
+                                         std::string_view salt, std::size_t count)
+{
+    const std::uint64_t seed = XXH3_64bits(salt.data(), salt.size());
+    std::vector<std::pair<std::uint64_t, const NodeName *>> scores;
+    for (const auto &[name, changed] : table.names(dataCentre)) {
+        if (table.find(name)->state == MemberState::Alive) {
+            scores.emplace_back(XXH3_64bits_withSeed(name.value().data(), name.value().size(), seed), &name);
+        }
+    }
+    const auto last = scores.begin() + static_cast<std::ptrdiff_t>(std::min(count, scores.size()));
+    std::partial_sort(scores.begin(), last, scores.end(), std::greater<>());
+    std::vector<NodeName> chosen;
+    for (auto score = scores.begin(); score != last; ++score) {
+        chosen.push_back(*score->second);
+    }
+    return chosen;
+}
+
+} // namespace Geraniumsail
