Test the member table and the group under named and random faults

Cause: the membership code was untested. Ruled out: tests over sockets, whose timing cannot be fixed by a seed. Conclusion: the bounds come from the design's timeouts.

--- /dev/null
+++ b/tests/core/membershiptest.cpp
@@ -0,0 +1,378 @@
+// Tests of the member table and of named situations of the group.
+#include "core/rendezvous.h"
+#include "fakecluster.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace Geraniumsail {
+
+namespace {
+
+using std::chrono::seconds;
+
+MemberRecord record(const std::string &name, std::uint64_t incarnation, std::uint64_t sequence, MemberState state)
+{
+    MemberRecord result;
+    result.name = NodeName(name);
+    result.incarnation = Incarnation(incarnation);
+    result.sequence = sequence;
+    result.dataCentre = DataCentreName("dc");
+    result.state = state;
+    return result;
+}
+
+void startMany(FakeCluster &cluster, const std::string &prefix, int count, const std::string &dataCentre,
+               const std::string &region, const std::vector<std::string> &seeds)
+{
+    for (int i = 0; i < count; ++i) {
+        cluster.start(prefix + std::to_string(i), dataCentre, region, seeds);
+    }
+}
+
+void assertAgreed(FakeCluster &cluster, Duration limit)
+{
+    const auto took = cluster.runUntilAgreed(limit);
+    CPPUNIT_ASSERT_MESSAGE(cluster.disagreement(), took.has_value());
+}
+
+class MembershipTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(MembershipTest);
+    CPPUNIT_TEST(recordsMergeInAnyOrder);
+    CPPUNIT_TEST(tombstonesDoNotChangeDigests);
+    CPPUNIT_TEST(rendezvousMovesOnlyTheLostRole);
+    CPPUNIT_TEST(updatesAreSentABoundedNumberOfTimes);
+    CPPUNIT_TEST(pauseIsSeenInTheTickGap);
+    CPPUNIT_TEST(groupFormsFromOneSeed);
+    CPPUNIT_TEST(killedMemberIsDetected);
+    CPPUNIT_TEST(leavingMemberIsKnownBeforeAnyTimeout);
+    CPPUNIT_TEST(leavingStateReachesEveryone);
+    CPPUNIT_TEST(pausedMemberReturns);
+    CPPUNIT_TEST(pausedMemberDeclaresNobodyDead);
+    CPPUNIT_TEST(oneWayCutDoesNotKill);
+    CPPUNIT_TEST(splitCentreBecomesWholeAgain);
+    CPPUNIT_TEST(fortyMembersRestartAtOnce);
+    CPPUNIT_TEST(cutDataCentreIsNotDeclaredDead);
+    CPPUNIT_TEST(dataCentresFindEachOtherThroughContacts);
+    CPPUNIT_TEST(clockSetBackBetweenLives);
+    CPPUNIT_TEST(transferIsPaced);
+    CPPUNIT_TEST(messagesForAnotherNodeAreNotAnswered);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a view that depends on the order in which updates arrive.
+    void recordsMergeInAnyOrder()
+    {
+        std::vector<MemberRecord> updates;
+        for (std::uint64_t incarnation = 1; incarnation <= 2; ++incarnation) {
+            for (std::uint64_t sequence = 1; sequence <= 2; ++sequence) {
+                for (const auto state : {MemberState::Alive, MemberState::Suspect, MemberState::Dead}) {
+                    updates.push_back(record("a", incarnation, sequence, state));
+                }
+            }
+        }
+        Random random(1);
+        for (int round = 0; round < 200; ++round) {
+            std::shuffle(updates.begin(), updates.end(), random);
+            MemberTable table;
+            table.apply(record("a", 0, 0, MemberState::Alive), MonotonicTime());
+            for (const auto &update : updates) {
+                table.apply(update, MonotonicTime());
+            }
+            CPPUNIT_ASSERT(*table.find(NodeName("a")) == record("a", 2, 2, MemberState::Dead));
+        }
+    }
+
+    // Guards against digests that differ for ever because nodes remove tombstones at different moments.
+    void tombstonesDoNotChangeDigests()
+    {
+        const DataCentreName dc("dc");
+        MemberTable left;
+        MemberTable right;
+        left.apply(record("a", 1, 1, MemberState::Alive), MonotonicTime());
+        right.apply(record("a", 1, 1, MemberState::Alive), MonotonicTime());
+        left.apply(record("b", 1, 1, MemberState::Alive), MonotonicTime());
+        CPPUNIT_ASSERT(left.digest(dc) != right.digest(dc));
+        left.apply(record("b", 1, 1, MemberState::Dead), MonotonicTime());
+        CPPUNIT_ASSERT_EQUAL(right.digest(dc), left.digest(dc));
+        CPPUNIT_ASSERT(right.buckets(dc) == left.buckets(dc));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), left.size());
+        left.removeTombstones(MonotonicTime(seconds(3601)), TombstoneRetention);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), left.size());
+        CPPUNIT_ASSERT_EQUAL(right.digest(dc), left.digest(dc));
+    }
+
+    // Guards against a loss of one member that moves the roles of others.
+    void rendezvousMovesOnlyTheLostRole()
+    {
+        MemberTable table;
+        for (int i = 0; i < 50; ++i) {
+            table.apply(record("n" + std::to_string(i), 1, 1, MemberState::Alive), MonotonicTime());
+        }
+        const auto before = chooseByRendezvous(table, DataCentreName("dc"), "relay", 3);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), before.size());
+        table.apply(record(before[1].value(), 1, 1, MemberState::Suspect), MonotonicTime());
+        const auto after = chooseByRendezvous(table, DataCentreName("dc"), "relay", 3);
+        CPPUNIT_ASSERT(after[0] == before[0] && after[1] == before[2] && after[2] != before[1]);
+        CPPUNIT_ASSERT(chooseByRendezvous(table, DataCentreName("dc"), "watcher", 3) != after);
+        CPPUNIT_ASSERT(chooseByRendezvous(table, DataCentreName("none"), "relay", 3).empty());
+    }
+
+    // Guards against updates that circulate for ever, and against old updates that crowd out new ones.
+    void updatesAreSentABoundedNumberOfTimes()
+    {
+        DisseminationQueue queue;
+        queue.add(NodeName("a"), 490);
+        int sent = 0;
+        while (!queue.take(1).empty()) {
+            ++sent;
+            CPPUNIT_ASSERT(sent <= 36);
+        }
+        CPPUNIT_ASSERT(sent >= 9);
+        queue.add(NodeName("old"), 490);
+        queue.take(1);
+        queue.add(NodeName("new"), 490);
+        CPPUNIT_ASSERT(queue.take(1) == std::vector<NodeName>{NodeName("new")});
+    }
+
+    void pauseIsSeenInTheTickGap()
+    {
+        PauseDetector detector;
+        CPPUNIT_ASSERT(!detector.tick(MonotonicTime(seconds(100))));
+        CPPUNIT_ASSERT(!detector.tick(MonotonicTime(seconds(102))));
+        CPPUNIT_ASSERT(detector.tick(MonotonicTime(seconds(105))));
+        CPPUNIT_ASSERT(!detector.tick(MonotonicTime(seconds(106))));
+    }
+
+    // Guards against a join that leaves a member with part of the table.
+    void groupFormsFromOneSeed()
+    {
+        FakeCluster cluster(1);
+        startMany(cluster, "a", 20, "dc-1", "r", {"a0"});
+        assertAgreed(cluster, seconds(30));
+        for (const auto &name : cluster.names()) {
+            CPPUNIT_ASSERT_EQUAL(std::size_t(3), cluster.core(name).membership().watchers().size());
+        }
+    }
+
+    // Guards against dead members that stay in the table. Bound: one round of probes over 20 members, 1.5 s of failed
+    // probes, 5 s of suspicion and the spread.
+    void killedMemberIsDetected()
+    {
+        FakeCluster cluster(2);
+        startMany(cluster, "a", 20, "dc-1", "r", {"a0"});
+        assertAgreed(cluster, seconds(30));
+        cluster.kill("a7");
+        assertAgreed(cluster, seconds(20));
+    }
+
+    // Guards against work sent to a member that said that it stops.
+    void leavingMemberIsKnownBeforeAnyTimeout()
+    {
+        FakeCluster cluster(3);
+        startMany(cluster, "a", 20, "dc-1", "r", {"a0"});
+        assertAgreed(cluster, seconds(30));
+        cluster.leave("a7");
+        // Less than ProbeTimeout + IndirectProbeTimeout + SuspicionTime.
+        assertAgreed(cluster, seconds(6));
+        for (const auto &name : cluster.names()) {
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), cluster.core(name).membership().counters().declaredDead);
+        }
+    }
+
+    // Guards against I6: an upstream that drains must be known to all within a few seconds, and be usable again later.
+    void leavingStateReachesEveryone()
+    {
+        FakeCluster cluster(4);
+        startMany(cluster, "a", 30, "dc-1", "r", {"a0"});
+        assertAgreed(cluster, seconds(30));
+        auto &drained = cluster.core("a3").membership();
+        drained.setOwnState(MemberState::Leaving, ServiceName("s"), Slots(50), TicketEpoch(1), cluster.now());
+        cluster.run(seconds(6));
+        for (const auto &name : cluster.names()) {
+            const auto *known = cluster.core(name).membership().table().find(NodeName("a3"));
+            CPPUNIT_ASSERT_MESSAGE(name, known->state == MemberState::Leaving && !takesWork(*known));
+        }
+        drained.setOwnState(MemberState::Alive, ServiceName("s"), Slots(50), TicketEpoch(1), cluster.now());
+        assertAgreed(cluster, seconds(6));
+    }
+
+    // Guards against a live member that stays dead because it was declared so while it was paused.
+    void pausedMemberReturns()
+    {
+        FakeCluster cluster(5);
+        startMany(cluster, "a", 12, "dc-1", "r", {"a0"});
+        assertAgreed(cluster, seconds(30));
+        cluster.pause("a4", seconds(60));
+        cluster.run(seconds(50));
+        CPPUNIT_ASSERT(!cluster.disagreement().empty());
+        cluster.run(seconds(10));
+        assertAgreed(cluster, seconds(20));
+        CPPUNIT_ASSERT(cluster.core("a4").membership().counters().pauses > 0);
+    }
+
+    // Guards against a resumed process that takes the time of its pause for the silence of the others.
+    void pausedMemberDeclaresNobodyDead()
+    {
+        FakeCluster cluster(6);
+        startMany(cluster, "a", 12, "dc-1", "r", {"a0"});
+        assertAgreed(cluster, seconds(30));
+        for (int i = 0; i < 20; ++i) {
+            cluster.pause("a4", std::chrono::milliseconds(2500 + 700 * i));
+            cluster.run(seconds(30));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), cluster.core("a4").membership().counters().declaredDead);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), cluster.core("a4").membership().counters().suspected);
+    }
+
+    // Guards against a broken path of one observer that removes a healthy member.
+    void oneWayCutDoesNotKill()
+    {
+        FakeCluster cluster(7);
+        startMany(cluster, "a", 8, "dc-1", "r", {"a0"});
+        assertAgreed(cluster, seconds(30));
+        cluster.cut("a1", "a2");
+        cluster.run(seconds(120));
+        CPPUNIT_ASSERT_EQUAL(std::string(), cluster.disagreement());
+    }
+
+    // Guards against halves that hold each other dead and never probe each other again.
+    void splitCentreBecomesWholeAgain()
+    {
+        FakeCluster cluster(8);
+        startMany(cluster, "a", 6, "dc-1", "r", {"a0"});
+        startMany(cluster, "b", 6, "dc-1", "r", {"a0"});
+        assertAgreed(cluster, seconds(30));
+        for (int i = 0; i < 6; ++i) {
+            for (int j = 0; j < 6; ++j) {
+                cluster.cut("a" + std::to_string(i), "b" + std::to_string(j));
+                cluster.cut("b" + std::to_string(j), "a" + std::to_string(i));
+            }
+        }
+        cluster.run(seconds(120));
+        CPPUNIT_ASSERT(cluster.core("a1").membership().table().find(NodeName("b1"))->state == MemberState::Dead);
+        cluster.heal();
+        assertAgreed(cluster, seconds(60));
+    }
+
+    // Guards against a join storm that the group does not absorb (a rack that comes back).
+    void fortyMembersRestartAtOnce()
+    {
+        FakeCluster cluster(9);
+        startMany(cluster, "a", 80, "dc-1", "r", {"a0", "a1"});
+        assertAgreed(cluster, seconds(60));
+        for (int i = 20; i < 60; ++i) {
+            cluster.kill("a" + std::to_string(i));
+        }
+        cluster.run(seconds(3));
+        startMany(cluster, "a", 60, "dc-1", "r", {"a0", "a1", "a70"});
+        assertAgreed(cluster, seconds(60));
+    }
+
+    // Guards against a partition between data centres that ends in the loss of all members of the other side.
+    void cutDataCentreIsNotDeclaredDead()
+    {
+        FakeCluster cluster(10);
+        startMany(cluster, "a", 8, "dc-1", "r1", {"a0"});
+        startMany(cluster, "b", 8, "dc-2", "r1", {"a0"});
+        startMany(cluster, "c", 8, "dc-3", "r2", {"a0"});
+        assertAgreed(cluster, seconds(90));
+        cluster.cutCentres("dc-1", "dc-2");
+        cluster.cutCentres("dc-1", "dc-3");
+        // An hour, as in docs/design.md 1.7.
+        cluster.run(seconds(3600));
+        CPPUNIT_ASSERT_EQUAL(std::string(), cluster.disagreement());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), cluster.core("a5").membership().unreachable(cluster.wall()).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), cluster.core("b5").membership().unreachable(cluster.wall()).size());
+        cluster.kill("a3");
+        cluster.start("b9", "dc-2", "r1", {"b0"});
+        cluster.run(seconds(30));
+        cluster.heal();
+        assertAgreed(cluster, seconds(60));
+        cluster.run(seconds(60));
+        CPPUNIT_ASSERT(cluster.core("a5").membership().unreachable(cluster.wall()).empty());
+    }
+
+    // Guards against data centres whose seeds name only their own members.
+    void dataCentresFindEachOtherThroughContacts()
+    {
+        FakeCluster cluster(11);
+        startMany(cluster, "a", 4, "dc-1", "r1", {"a0"});
+        startMany(cluster, "b", 4, "dc-2", "r2", {"b0"});
+        cluster.run(seconds(30));
+        CPPUNIT_ASSERT(!cluster.disagreement().empty());
+        for (const auto &name : cluster.names()) {
+            cluster.core(name).membership().setContacts({Address("a1"), Address("b1")});
+        }
+        assertAgreed(cluster, seconds(60));
+    }
+
+    // Guards against a restarted process whose clock runs behind its former life and is ignored by all.
+    void clockSetBackBetweenLives()
+    {
+        FakeCluster cluster(12);
+        startMany(cluster, "a", 5, "dc-1", "r", {"a0"});
+        assertAgreed(cluster, seconds(30));
+        MemberRecord former = cluster.core("a2").membership().self();
+        former.incarnation = Incarnation(former.incarnation.value() + (std::uint64_t(3'600'000) << 20U));
+        former.sequence = 77;
+        SyncMessage message;
+        message.to = NodeName("a1");
+        message.self = former;
+        cluster.core("a1").onRequest(message, cluster.now(), cluster.wall(), cluster.randomSource());
+        cluster.run(seconds(20));
+        CPPUNIT_ASSERT(cluster.core("a2").membership().self().incarnation > former.incarnation);
+        CPPUNIT_ASSERT_EQUAL(std::string(), cluster.disagreement());
+    }
+
+    // Guards against a join that exceeds the control bytes of a node (docs/design.md 1.7).
+    void transferIsPaced()
+    {
+        Transfer transfer;
+        transfer.wantBuckets(DataCentreName("other"), {0}, NodeName("s"));
+        transfer.wantBuckets(DataCentreName("own"), {0, 1}, NodeName("s"));
+        transfer.wantService(ServiceName("bookings"));
+        std::size_t records = 0;
+        MonotonicTime now;
+        bool first = true;
+        for (int i = 0; i < 600; ++i, now += std::chrono::milliseconds(100)) {
+            const auto step = transfer.next(DataCentreName("own"), now);
+            if (!step) {
+                continue;
+            }
+            CPPUNIT_ASSERT(!transfer.next(DataCentreName("own"), now));
+            CPPUNIT_ASSERT_EQUAL(first, !step->request.services.empty());
+            MembersReply reply;
+            reply.records.resize(step->request.limit, record("n", 1, 1, MemberState::Alive));
+            reply.more = !first;
+            first = false;
+            records += reply.records.size();
+            transfer.onReply(step->request, reply);
+        }
+        const double bytes = static_cast<double>(records) * TransferRecordBytes;
+        CPPUNIT_ASSERT(bytes <= 61 * TransferBytesPerSecond);
+        CPPUNIT_ASSERT(bytes >= 50 * TransferBytesPerSecond);
+    }
+
+    // Guards against a probe of a reused address that keeps the former member of that address alive.
+    void messagesForAnotherNodeAreNotAnswered()
+    {
+        FakeCluster cluster(13);
+        cluster.start("a", "dc-1", "r", {});
+        SyncMessage message;
+        message.to = NodeName("b");
+        message.self = record("c", 1, 1, MemberState::Alive);
+        const auto handled
+            = cluster.core("a").onRequest(message, cluster.now(), cluster.wall(), cluster.randomSource());
+        CPPUNIT_ASSERT(!handled.reply);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MembershipTest);
+
+} // namespace
+
+} // namespace Geraniumsail
