Use the manifest and content hash of the core

Cause: the core's publisher and configuration view define the manifest, its key and the content hash; gs-config had its own copies from before they landed. Ruled out: two definitions, which could drift apart and make every node refuse what the client publishes. Change: gs-config keeps the text forms only and offers manifestCodec() to the publisher. Conclusion: one definition of each.

--- a/src/config/canonical.cpp
+++ b/src/config/canonical.cpp
@@ -1,13 +1,11 @@
-// Canonical texts and content hashes of documents.
+// Canonical texts of documents.
 #include "config/document.h"
 
 #include <nlohmann/json.hpp>
-#include <xxhash.h>
 
 #include <algorithm>
-#include <array>
 #include <chrono>
-#include <cstdio>
+#include <tuple>
 
 namespace Geraniumsail {
 
@@ -66,13 +64,4 @@
     return json.dump();
 }
 
-std::string textHash(std::string_view text)
-{
-    const auto hash = XXH3_128bits(text.data(), text.size());
-    std::array<char, 33> digits{};
-    std::snprintf(digits.data(), digits.size(), "%016llx%016llx", static_cast<unsigned long long>(hash.high64),
-                  static_cast<unsigned long long>(hash.low64));
-    return digits.data();
-}
-
 } // namespace Geraniumsail
--- a/src/config/check.cpp
+++ b/src/config/check.cpp
@@ -152,8 +152,8 @@
     /// Defaults that are written out can make the canonical text longer than the file.
     void addText(const SourceFile &source, const DocumentName &name, std::string text)
     {
-        if (text.size() > MaxTextBytes) {
-            report(source, "", "at most " + std::to_string(MaxTextBytes) + " bytes when published",
+        if (text.size() > MaxDocumentBytes) {
+            report(source, "", "at most " + std::to_string(MaxDocumentBytes) + " bytes when published",
                    std::to_string(text.size()) + " bytes");
         }
         m_result.texts[name] = std::move(text);
--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -81,11 +81,11 @@
 
 bool checkSize(std::string_view text, const std::string &file, Problems &problems)
 {
-    if (text.size() <= MaxTextBytes) {
+    if (text.size() <= MaxDocumentBytes) {
         return true;
     }
     problems.push_back(
-        {file, "", "at most " + std::to_string(MaxTextBytes) + " bytes", std::to_string(text.size()) + " bytes"});
+        {file, "", "at most " + std::to_string(MaxDocumentBytes) + " bytes", std::to_string(text.size()) + " bytes"});
     return false;
 }
 
--- a/src/config/document.h
+++ b/src/config/document.h
@@ -8,6 +8,7 @@
 #define GERANIUMSAIL_CONFIG_DOCUMENT_H
 
 #include "config/problem.h"
+#include "core/configview.h"
 #include "core/ids.h"
 #include "core/policy.h"
 
@@ -17,8 +18,6 @@
 
 namespace Geraniumsail {
 
-/// Largest value that the platform's store accepts.
-constexpr std::size_t MaxTextBytes = 1'000'000;
 /// Name of the document of all links; no service can have it.
 constexpr const char *LinksDocumentName = "links";
 
@@ -31,9 +30,6 @@
 std::string canonicalText(const ServicePolicy &policy);
 std::string canonicalText(const std::vector<LinkPolicy> &links);
 
-/// 128-bit xxhash of a text as 32 hexadecimal digits. It detects changes; it does not protect against forgery.
-std::string textHash(std::string_view text);
-
 } // namespace Geraniumsail
 
 #endif
--- a/src/config/manifest.cpp
+++ b/src/config/manifest.cpp
@@ -1,6 +1,5 @@
 #include "config/manifest.h"
 
-#include "config/document.h"
 #include "config/reader.h"
 
 #include <algorithm>
@@ -34,11 +33,6 @@
 
 } // namespace
 
-std::string documentKey(const DocumentName &name, std::string_view hash)
-{
-    return "config/docs/" + name.value() + "/" + std::string(hash);
-}
-
 std::string encodeManifest(const Manifest &manifest)
 {
     Json documents = Json::object();
@@ -52,12 +46,12 @@
 Checked<Manifest> decodeManifest(std::string_view text)
 {
     Problems problems;
-    const auto json = parseObject(text, ManifestKey, problems);
+    const auto json = parseObject(text, std::string(ManifestKey), problems);
     if (!json) {
         return {std::nullopt, problems};
     }
     Manifest manifest;
-    ObjectReader reader(*json, ManifestKey, "", problems);
+    ObjectReader reader(*json, std::string(ManifestKey), "", problems);
     reader.integer("v", FormatVersion, FormatVersion);
     const auto documents = json->find("documents");
     auto entries = reader.object("documents");
@@ -73,4 +67,11 @@
     return {std::move(manifest), {}};
 }
 
+ManifestCodec manifestCodec()
+{
+    return {encodeManifest, [](std::string_view text) {
+                return decodeManifest(text).value;
+            }};
+}
+
 } // namespace Geraniumsail
--- a/src/standin/storeserver.cpp
+++ b/src/standin/storeserver.cpp
@@ -69,7 +69,7 @@
 
 } // namespace
 
-StoreServer::StoreServer(asio::any_io_executor executor)
+StoreServer::StoreServer(const asio::any_io_executor &executor)
     : m_executor(executor), m_server(executor, storeLimits(), [this](HttpRequest request, RequestScope &scope) {
           return handle(std::move(request), scope);
       })
--- a/src/standin/storeserver.h
+++ b/src/standin/storeserver.h
@@ -42,7 +42,7 @@
 class StoreServer
 {
 public:
-    explicit StoreServer(boost::asio::any_io_executor executor);
+    explicit StoreServer(const boost::asio::any_io_executor &executor);
 
     /// Returns the bound address.
     Address listen(const Address &address);
--- a/tests/config/documenttest.cpp
+++ b/tests/config/documenttest.cpp
@@ -124,7 +124,7 @@
     // Guards against a document that passes the check and is then refused by the store.
     void refusesLargeTexts()
     {
-        const std::string large = BookingsText + std::string(MaxTextBytes, ' ');
+        const std::string large = BookingsText + std::string(MaxDocumentBytes, ' ');
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, parseServiceDocument(large).problems.size());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, parseLinksDocument(large).problems.size());
     }
@@ -139,8 +139,8 @@
         CPPUNIT_ASSERT_EQUAL(first, canonicalText(*parseServiceDocument(explicitDefault).value));
         const auto changed = replaced(BookingsText, "\"retries\": 2", "\"retries\": 3");
         const auto other = canonicalText(*parseServiceDocument(changed).value);
-        CPPUNIT_ASSERT(textHash(first) != textHash(other));
-        CPPUNIT_ASSERT_EQUAL(std::string("99aa06d3014798d86001c324468d497f"), textHash(""));
+        CPPUNIT_ASSERT(contentHash(first) != contentHash(other));
+        CPPUNIT_ASSERT_EQUAL(std::string("99aa06d3014798d86001c324468d497f"), contentHash(""));
     }
 };
 
--- a/tests/config/randomtest.cpp
+++ b/tests/config/randomtest.cpp
@@ -122,7 +122,7 @@
     // Guards against a crash on a damaged manifest, and against version 0, which means "none".
     void damagedManifest()
     {
-        const auto good = encodeManifest({{DocumentName("links"), {ConfigVersion(17), textHash("b"), "p-2"}}});
+        const auto good = encodeManifest({{DocumentName("links"), {ConfigVersion(17), contentHash("b"), "p-2"}}});
         CPPUNIT_ASSERT(rc::check("damaged manifests", [&] {
             const auto result = decodeManifest(damaged(good));
             RC_ASSERT(result.value.has_value() == result.problems.empty());
--- a/tests/config/treetest.cpp
+++ b/tests/config/treetest.cpp
@@ -65,19 +65,19 @@
     void manifestRoundTrip()
     {
         const Manifest manifest{
-            {DocumentName("bookings"), {ConfigVersion(UINT64_MAX), textHash("a"), "p-1"}},
-            {DocumentName("links"), {ConfigVersion(1), textHash("b"), "p-2"}},
+            {DocumentName("bookings"), {ConfigVersion(UINT64_MAX), contentHash("a"), "p-1"}},
+            {DocumentName("links"), {ConfigVersion(1), contentHash("b"), "p-2"}},
         };
         const auto decoded = decodeManifest(encodeManifest(manifest));
         CPPUNIT_ASSERT_MESSAGE(toText(decoded.problems), decoded.value);
         CPPUNIT_ASSERT(manifest == *decoded.value);
-        CPPUNIT_ASSERT_EQUAL(std::string("config/docs/links/00"), documentKey(DocumentName("links"), "00"));
+        CPPUNIT_ASSERT_EQUAL(std::string("config/docs/links/00"), blobKey(DocumentName("links"), "00"));
     }
 
     // Guards against acting on a manifest of another format or with damaged entries.
     void refusesDamagedManifest()
     {
-        const auto good = encodeManifest({{DocumentName("links"), {ConfigVersion(1), textHash("b"), "p-2"}}});
+        const auto good = encodeManifest({{DocumentName("links"), {ConfigVersion(1), contentHash("b"), "p-2"}}});
         for (const auto &bad : {replaced(good, "\"v\":1", "\"v\":2"), replaced(good, "\"version\":1", "\"version\":0"),
                                 replaced(good, "\"hash\":\"", "\"hash\":\"0"), replaced(good, "p-2", "p 2"),
                                 replaced(good, "\"documents\"", "\"docs\""), std::string("[]")}) {
