Add the stand-in upstream and the load program

Cause: tests, demo and bench need upstreams that drain, start cold, shed and mislead, and callers whose records can be compared with what the upstreams ran. Ruled out: closed-loop load, which slows down with the system and hides overload; judging runs by request ids, which a chain shares; kinds from our header fields, which nodes remove before the upstream. Change: upstream (announces every second, slots, connection cost, cold start, shedding, drain, lagging or false health, child calls through its node, streamed answers, executions by token), load program (Poisson arrivals, tickets, resends, checks of content, doubled runs and false not-run statements). RequestScope tells the first request of a connection. Not yet run through a node.

--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -42,6 +42,7 @@
 {
     Cancellation cancellation;
     boost::asio::ip::address remote;
+    bool firstOnConnection = true;
 };
 
 class HttpServer
--- a/src/net/httpsession.cpp
+++ b/src/net/httpsession.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <glog/logging.h>
 
+#include <utility>
+
 namespace Geraniumsail {
 
 namespace {
@@ -221,6 +223,7 @@
 {
     RequestScope scope;
     scope.remote = m_remote;
+    scope.firstOnConnection = std::exchange(m_fresh, false);
     m_scope = &scope;
     const bool isHead = request.message.method() == http::verb::head;
     const bool keepAlive = request.message.keep_alive();
--- a/src/net/httpsession.h
+++ b/src/net/httpsession.h
@@ -46,6 +46,7 @@
     std::uint64_t m_watchRound = 0;
     bool m_idle = true;
     bool m_stopping = false;
+    bool m_fresh = true; ///< No request was handled on this connection yet.
 };
 
 } // namespace Geraniumsail
--- a/src/standin/mainload.cpp
+++ b/src/standin/mainload.cpp
@@ -1,21 +1,74 @@
 // Load program with open-loop arrivals.
 #include "cli/arguments.h"
+#include "standin/loadrunner.h"
+#include "standin/process.h"
 
-#include <iostream>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/use_future.hpp>
+#include <nlohmann/json.hpp>
+
+#include <fstream>
 
 namespace {
 
-constexpr char Usage[] = R"(Load program with open-loop arrivals.
+using namespace Geraniumsail;
+
+constexpr char Usage[] =
+    R"(Load program: stand-in for callers, for tests and the demo only. Arrivals do not wait for answers.
 
 Usage:
+  geraniumsail-standin-load --scenario FILE [--json FILE]
   geraniumsail-standin-load --help
   geraniumsail-standin-load --version
+
+Options:
+  --scenario FILE  What to send where, as JSON.
+  --json FILE      Write the result there; "-" is the standard output, without the table.
+
+Checks that each answer belongs to its request and is whole, that no unrepeatable request was run twice, and that no
+request was run whose caller was told that it was not. Exit codes: 0 all held, 1 one did not, 2 wrong usage or scenario,
+3 the executions of an upstream could not be read.
 )";
 
+constexpr int ExitIncomplete = 3;
+
+int finish(const Standin::Scenario &scenario, const Standin::LoadResult &result, const std::string &jsonFile)
+{
+    const auto text = Standin::toJson(scenario, result).dump(2) + "\n";
+    if (jsonFile == "-") {
+        std::cout << text;
+    } else {
+        std::cout << Standin::toTable(scenario, result);
+    }
+    if (!jsonFile.empty() && jsonFile != "-") {
+        std::ofstream(jsonFile) << text;
+    }
+    const auto &checks = result.checks;
+    if (checks.wrongAnswers + checks.doubled + checks.notRunButRan + checks.wholeWithoutRun > 0) {
+        return Standin::ExitFailed;
+    }
+    return checks.passed() ? Standin::ExitOk : ExitIncomplete;
+}
+
 } // namespace
 
 int main(int argc, char *argv[])
 {
-    Geraniumsail::parseArguments(Usage, argc, argv);
-    return 0;
+    const auto arguments = parseArguments(Usage, argc, argv);
+    const auto file = arguments.at("--scenario").asString();
+    const auto text = Standin::readFile(file);
+    if (!text) {
+        return ExitWrongUsage;
+    }
+    const auto scenario = Standin::parseScenario(*text, file);
+    if (!scenario.value) {
+        std::cerr << toText(scenario.problems);
+        return ExitWrongUsage;
+    }
+    boost::asio::io_context context;
+    Standin::LoadRunner runner(context.get_executor(), *scenario.value);
+    auto result = boost::asio::co_spawn(context, runner.run(), boost::asio::use_future);
+    context.run();
+    return finish(*scenario.value, result.get(), optionOr(arguments, "--json", ""));
 }
