Carry the ticket's incarnation and position in the call context

Cause: the context named the epoch of a ticket but not the incarnation. Epochs of two lives of a node overlap, so a restarted target could not tell a ticket of its earlier life from one of its own and could run it a second time. The target also could not tell whether it is the first or the second target of the ticket. Ruled out: an epoch that is unique over restarts, because it would depend on the wall clock. Change: optional fields inc and pos in Geraniumsail-Context; strict decoding of both. Before: 4 header tests. After: the same 4 tests cover the new fields, 0 failed.

--- a/src/core/callcontext.cpp
+++ b/src/core/callcontext.cpp
@@ -14,8 +14,11 @@
 constexpr std::size_t MaxIdentifierLength = 128;
 /// A remaining time over a day is a mistake of the sender.
 constexpr std::uint64_t MaxRemainingMs = 86'400'000;
-constexpr std::array<std::string_view, 13> KnownFields{"v",     "id",  "attempt", "kind", "rank",    "score", "left",
-                                                       "allow", "hop", "caller",  "once", "void-by", "epoch"};
+constexpr std::array<std::string_view, 15> KnownFields{"v",     "id",      "attempt", "kind", "rank",
+                                                       "score", "left",    "allow",   "hop",  "caller",
+                                                       "once",  "void-by", "epoch",   "inc",  "pos"};
+/// Most targets that a ticket names, less one.
+constexpr int MaxTicketPosition = 1;
 
 using Fields = std::map<std::string_view, std::string_view>;
 
@@ -80,6 +83,12 @@
     if (context.epoch) {
         text += ";epoch=" + std::to_string(context.epoch->value());
     }
+    if (context.incarnation) {
+        text += ";inc=" + std::to_string(context.incarnation->value());
+    }
+    if (context.ticketPosition != 0) {
+        text += ";pos=" + std::to_string(context.ticketPosition);
+    }
     return text;
 }
 
@@ -126,6 +135,20 @@
         }
         context.epoch = TicketEpoch(*epoch);
     }
+    if (fields->contains("inc")) {
+        const auto incarnation = numberField<std::uint64_t>(*fields, "inc", UINT64_MAX);
+        if (!incarnation) {
+            return std::nullopt;
+        }
+        context.incarnation = Incarnation(*incarnation);
+    }
+    if (fields->contains("pos")) {
+        const auto position = numberField<int>(*fields, "pos", MaxTicketPosition);
+        if (!position || *position < 0) {
+            return std::nullopt;
+        }
+        context.ticketPosition = *position;
+    }
     return context;
 }
 
--- a/src/core/callcontext.h
+++ b/src/core/callcontext.h
@@ -32,6 +32,10 @@
     bool once = false; ///< True for unrepeatable work.
     std::optional<NodeName> voidedBy; ///< Earlier target of the ticket that stated that it voided it.
     std::optional<TicketEpoch> epoch; ///< Epoch of the ticket at this target.
+    /// Incarnation that the ticket names. Epochs of two lives of a node overlap, so the epoch alone would let a
+    /// restarted target run a ticket of its earlier life again.
+    std::optional<Incarnation> incarnation;
+    int ticketPosition = 0; ///< Place of this target in the ticket; over 0 only an attempt with voidedBy may start.
 };
 
 /// The header value; remaining time is deadline - now, at least 0 ms.
--- a/tests/core/headertest.cpp
+++ b/tests/core/headertest.cpp
@@ -35,10 +35,14 @@
         context.once = true;
         context.voidedBy = NodeName("n-1");
         context.epoch = TicketEpoch(9);
+        context.incarnation = Incarnation(UINT64_MAX);
+        context.ticketPosition = 1;
         const auto decoded = decodeContext(encodeContext(context, now), now);
         CPPUNIT_ASSERT(decoded.has_value());
         CPPUNIT_ASSERT_EQUAL(encodeContext(context, now), encodeContext(*decoded, now));
         CPPUNIT_ASSERT(decoded->deadline == context.deadline);
+        CPPUNIT_ASSERT(decoded->incarnation == context.incarnation);
+        CPPUNIT_ASSERT_EQUAL(1, decoded->ticketPosition);
     }
 
     void malformedContextsAreRefused()
@@ -48,7 +52,8 @@
         CPPUNIT_ASSERT(decodeContext(good, now));
         for (const std::string &bad : std::vector<std::string>{
                  std::string(), std::string("v=2") + good.substr(3), good + ";hop=1", good + ";other=1",
-                 good + ";void-by=a b", good.substr(0, good.size() - 1) + "2",
+                 good + ";void-by=a b", good + ";inc=-1", good + ";pos=2", good + ";pos=-1",
+                 good.substr(0, good.size() - 1) + "2",
                  "v=1;id=r;attempt=a;kind=k;rank=10;score=1;left=10;allow=0;hop=0;caller=c;once=0",
                  std::string("v=1;id=r;attempt=a;kind=k;rank=0;score=1;left=10;allow=17;hop=0;caller=c;once=0"),
                  std::string("v=1;id=r;attempt=a;kind=k;rank=0;score=1;left=-1;allow=0;hop=0;caller=c;once=0")}) {
