--- /dev/null
+++ b/src/core/retryledger.cpp
@@ -0,0 +1,61 @@
+#include "core/retryledger.h"
+
+#include <algorithm>
+
+namespace Geraniumsail {
+
+RetryLedger::RetryLedger(Allowance allowance, int hop)
+    : m_hop(hop), m_available(std::min(allowance, MaxAllowance).value())
+{
+}
+
+Loan RetryLedger::lend(int parallel)
+{
+    const std::uint32_t reserve = m_hop == 0 && m_available > 1 ? 1 : 0;
+    const std::uint32_t parts = static_cast<std::uint32_t>(std::max(parallel, 1));
+    const std::uint32_t lendable = m_available - reserve;
+    // Written without (lendable + parts - 1), which overflows for a huge number of parts.
+    const std::uint32_t amount = lendable / parts + (lendable % parts != 0 ? 1 : 0);
+    if (amount == 0) {
+        return Loan{};
+    }
+    m_available -= amount;
+    m_outstanding.push_back(Loan{m_nextNumber++, Allowance(amount)});
+    return m_outstanding.back();
+}
+
+void RetryLedger::giveBack(const Loan &loan, Allowance unused)
+{
+    const auto found = std::find_if(m_outstanding.begin(), m_outstanding.end(),
+                                    [&](const Loan &other) { return other.number == loan.number; });
+    if (m_closed || found == m_outstanding.end()) {
+        return;
+    }
+    m_available += std::min(found->amount, unused).value();
+    m_outstanding.erase(found);
+}
+
+bool RetryLedger::spendOwn()
+{
+    if (m_available == 0) {
+        return false;
+    }
+    --m_available;
+    return true;
+}
+
+Allowance RetryLedger::available() const
+{
+    return Allowance(m_available);
+}
+
+Allowance RetryLedger::close()
+{
+    const Allowance rest(m_available);
+    m_available = 0;
+    m_closed = true;
+    m_outstanding.clear();
+    return rest;
+}
+
+} // namespace Geraniumsail
