Add the attempt registry

Cause: start and cancel of an attempt race; one place at the target has to decide. Ruled out: eviction of old entries when the table is full, because an evicted ticket could run again; refusing without an entry when full, because a delayed copy could run after "not run" was told. Instead the registry closes all epochs up to the present one for unseen tickets, so the refusal stays true without memory. Before: no registry.

--- /dev/null
+++ b/src/core/attemptregistry.cpp
@@ -0,0 +1,357 @@
+#include "core/attemptregistry.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Geraniumsail {
+
+namespace {
+
+constexpr std::array<std::string_view, 3> VoidLabels{"voided", "started", "not-confirmed"};
+
+Arrival refused(ErrorKind kind)
+{
+    return Arrival{Arrival::Kind::Refused, kind, nullptr};
+}
+
+} // namespace
+
+std::size_t StoredAnswer::size() const
+{
+    std::size_t total = body.size();
+    for (const auto &[name, value] : fields) {
+        total += name.size() + value.size();
+    }
+    return total;
+}
+
+std::string_view voidVerdictLabel(VoidVerdict verdict)
+{
+    return VoidLabels.at(static_cast<std::size_t>(verdict));
+}
+
+std::optional<VoidVerdict> voidVerdictFromLabel(std::string_view label)
+{
+    const auto found = std::find(VoidLabels.begin(), VoidLabels.end(), label);
+    if (found == VoidLabels.end()) {
+        return std::nullopt;
+    }
+    return static_cast<VoidVerdict>(found - VoidLabels.begin());
+}
+
+bool refusalVoids(ErrorKind kind)
+{
+    switch (kind) {
+    case ErrorKind::Overloaded:
+    case ErrorKind::QueueFull:
+    case ErrorKind::UpstreamShed:
+    case ErrorKind::DeadlineBeforeStart:
+    case ErrorKind::ConnectFailed:
+    case ErrorKind::CancelledBeforeStart:
+    case ErrorKind::TicketVoided:
+        return true;
+    default:
+        return false;
+    }
+}
+
+AttemptRegistry::AttemptRegistry(Incarnation incarnation, MonotonicTime start, RegistryLimits limits)
+    : m_incarnation(incarnation), m_start(start), m_latest(start), m_limits(limits)
+{
+}
+
+Arrival AttemptRegistry::arrive(const CallContext &context, MonotonicTime now)
+{
+    advance(now);
+    if (const auto fault = ticketFault(context)) {
+        return refused(*fault);
+    }
+    if (const auto found = m_entries.find(context.attempt); found != m_entries.end()) {
+        return arriveAgain(found->second);
+    }
+    return context.once ? arriveOnce(context) : arriveRepeatable(context);
+}
+
+StartVerdict AttemptRegistry::start(const AttemptId &id, MonotonicTime now)
+{
+    advance(now);
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end() || found->second.state != State::Queued) {
+        return StartVerdict::Voided;
+    }
+    auto &entry = found->second;
+    if (entry.once && expired(entry.epoch)) {
+        // The process was frozen while the attempt was queued; its caller has long been told something else.
+        entry.state = State::Voided;
+        return StartVerdict::Voided;
+    }
+    entry.state = State::Running;
+    return StartVerdict::Start;
+}
+
+bool AttemptRegistry::refuse(const AttemptId &id, MonotonicTime now)
+{
+    advance(now);
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end()) {
+        return false;
+    }
+    if (found->second.state == State::Queued) {
+        found->second.state = State::Voided;
+        endRepeatable(id);
+    }
+    return found->second.state == State::Voided;
+}
+
+VoidVerdict AttemptRegistry::voidAttempt(const CallContext &context, MonotonicTime now)
+{
+    advance(now);
+    if (const auto found = m_entries.find(context.attempt); found != m_entries.end()) {
+        const bool sameTicket = !context.once || context.incarnation == m_incarnation;
+        if (!sameTicket || found->second.once != context.once) {
+            return VoidVerdict::NotConfirmed;
+        }
+        return refuse(context.attempt, now) ? VoidVerdict::Voided : VoidVerdict::Started;
+    }
+    if (ticketFault(context)) {
+        return VoidVerdict::NotConfirmed;
+    }
+    if (!context.once) {
+        // The entry saves the work of a request that arrives later. It is forgotten soon, so it confirms nothing.
+        if (makeRoomForRepeatable()) {
+            m_entries.emplace(context.attempt,
+                              Entry{State::Voided, false, ErrorKind::Internal, TicketEpoch(0), nullptr});
+            endRepeatable(context.attempt);
+        }
+        return VoidVerdict::NotConfirmed;
+    }
+    if (*context.epoch > m_closedThrough && makeRoomForOnce()) {
+        insertOnce(context, State::Voided);
+    }
+    // Without an entry the ticket belongs to a closed epoch, and so will never start here.
+    return VoidVerdict::Voided;
+}
+
+void AttemptRegistry::finish(const AttemptId &id, Outcome outcome, ErrorKind kind, std::optional<StoredAnswer> answer,
+                             MonotonicTime now)
+{
+    advance(now);
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end() || found->second.state != State::Running) {
+        return;
+    }
+    auto &entry = found->second;
+    switch (outcome) {
+    case Outcome::Ran:
+        entry.state = State::Ran;
+        if (entry.once && answer && answer->size() <= MaxStoredAnswerSize) {
+            storeAnswer(id, entry, std::move(*answer));
+        }
+        break;
+    case Outcome::NotRun:
+        entry.state = State::Voided;
+        break;
+    case Outcome::Unknown:
+        entry.state = State::Unknown;
+        // Duplicates must not be told that the attempt did not run.
+        entry.endKind = errorRow(kind).outcome == Outcome::Unknown ? kind : ErrorKind::Internal;
+        break;
+    }
+    endRepeatable(id);
+}
+
+void AttemptRegistry::prune(MonotonicTime now)
+{
+    const auto present = epoch(advance(now));
+    while (!m_endedRepeatable.empty() && m_endedRepeatable.front().first + m_limits.repeatableRetention <= m_latest) {
+        m_entries.erase(m_endedRepeatable.front().second);
+        m_endedRepeatable.pop_front();
+    }
+    if (m_prunedThrough == present) {
+        return;
+    }
+    for (auto bucket = m_byEpoch.begin(); bucket != m_byEpoch.end() && expired(bucket->first);) {
+        pruneBucket(bucket->second);
+        bucket = bucket->second.empty() ? m_byEpoch.erase(bucket) : std::next(bucket);
+    }
+    // Buckets that still hold running attempts are visited again.
+    const bool settled = m_byEpoch.empty() || !expired(m_byEpoch.begin()->first);
+    m_prunedThrough = settled ? present : TicketEpoch(0);
+    std::erase_if(m_answerOrder, [&](const AttemptId &id) { return !m_entries.contains(id); });
+}
+
+TicketEpoch AttemptRegistry::epoch(MonotonicTime now) const
+{
+    const auto age = std::max(now, m_latest) - m_start;
+    return TicketEpoch(1 + static_cast<std::uint64_t>(age / TicketEpochLength));
+}
+
+Incarnation AttemptRegistry::incarnation() const
+{
+    return m_incarnation;
+}
+
+std::size_t AttemptRegistry::onceCount() const
+{
+    return m_onceCount;
+}
+
+std::size_t AttemptRegistry::repeatableCount() const
+{
+    return m_entries.size() - m_onceCount;
+}
+
+std::size_t AttemptRegistry::storedBytes() const
+{
+    return m_answerBytes;
+}
+
+std::uint64_t AttemptRegistry::refusedFull() const
+{
+    return m_refusedFull;
+}
+
+MonotonicTime AttemptRegistry::advance(MonotonicTime now)
+{
+    m_latest = std::max(m_latest, now);
+    return m_latest;
+}
+
+bool AttemptRegistry::expired(TicketEpoch epoch) const
+{
+    return epoch.value() + TicketEpochCount <= this->epoch(m_latest).value();
+}
+
+std::optional<ErrorKind> AttemptRegistry::ticketFault(const CallContext &context) const
+{
+    if (!context.once) {
+        return std::nullopt;
+    }
+    if (!context.epoch || !context.incarnation || *context.epoch == TicketEpoch(0)) {
+        return ErrorKind::Internal;
+    }
+    if (*context.incarnation != m_incarnation) {
+        return ErrorKind::IncarnationGone;
+    }
+    // An epoch ahead of this clock was never published. Its entry would be kept for too long.
+    const bool ahead = *context.epoch > epoch(m_latest);
+    const bool gone = expired(*context.epoch) && !m_entries.contains(context.attempt);
+    return ahead || gone ? std::optional(ErrorKind::TicketExpired) : std::nullopt;
+}
+
+Arrival AttemptRegistry::arriveAgain(const Entry &entry)
+{
+    switch (entry.state) {
+    case State::Queued:
+    case State::Running:
+        return Arrival{Arrival::Kind::Join, ErrorKind::Internal, nullptr};
+    case State::Ran:
+        return entry.answer ? Arrival{Arrival::Kind::Stored, ErrorKind::Internal, entry.answer}
+                            : refused(ErrorKind::AnswerGone);
+    case State::Unknown:
+        return refused(entry.endKind);
+    case State::Voided:
+        break;
+    }
+    return refused(entry.once ? ErrorKind::TicketVoided : ErrorKind::CancelledBeforeStart);
+}
+
+Arrival AttemptRegistry::arriveOnce(const CallContext &context)
+{
+    if (*context.epoch <= m_closedThrough || !makeRoomForOnce()) {
+        ++m_refusedFull;
+        return refused(ErrorKind::Overloaded);
+    }
+    if (context.ticketPosition > 0 && !context.voidedBy) {
+        insertOnce(context, State::Voided);
+        return refused(ErrorKind::TicketVoided);
+    }
+    insertOnce(context, State::Queued);
+    return Arrival{Arrival::Kind::Fresh, ErrorKind::Internal, nullptr};
+}
+
+Arrival AttemptRegistry::arriveRepeatable(const CallContext &context)
+{
+    if (!makeRoomForRepeatable()) {
+        return refused(ErrorKind::QueueFull);
+    }
+    m_entries.emplace(context.attempt, Entry{});
+    return Arrival{Arrival::Kind::Fresh, ErrorKind::Internal, nullptr};
+}
+
+bool AttemptRegistry::makeRoomForOnce()
+{
+    if (m_onceCount < m_limits.onceEntries) {
+        return true;
+    }
+    prune(m_latest);
+    if (m_onceCount < m_limits.onceEntries) {
+        return true;
+    }
+    m_closedThrough = epoch(m_latest);
+    return false;
+}
+
+bool AttemptRegistry::makeRoomForRepeatable()
+{
+    if (repeatableCount() < m_limits.repeatableEntries) {
+        return true;
+    }
+    if (m_endedRepeatable.empty()) {
+        return false;
+    }
+    m_entries.erase(m_endedRepeatable.front().second);
+    m_endedRepeatable.pop_front();
+    return true;
+}
+
+void AttemptRegistry::insertOnce(const CallContext &context, State state)
+{
+    m_entries.emplace(context.attempt, Entry{state, true, ErrorKind::Internal, *context.epoch, nullptr});
+    m_byEpoch[*context.epoch].push_back(context.attempt);
+    ++m_onceCount;
+}
+
+void AttemptRegistry::endRepeatable(const AttemptId &id)
+{
+    if (!m_entries.at(id).once) {
+        m_endedRepeatable.emplace_back(m_latest, id);
+    }
+}
+
+void AttemptRegistry::storeAnswer(const AttemptId &id, Entry &entry, StoredAnswer answer)
+{
+    m_answerBytes += answer.size();
+    entry.answer = std::make_shared<const StoredAnswer>(std::move(answer));
+    m_answerOrder.push_back(id);
+    while (m_answerBytes > m_limits.answerBytes) {
+        if (const auto oldest = m_entries.find(m_answerOrder.front()); oldest != m_entries.end()) {
+            dropAnswer(oldest->second);
+        }
+        m_answerOrder.pop_front();
+    }
+}
+
+void AttemptRegistry::dropAnswer(Entry &entry)
+{
+    if (entry.answer) {
+        m_answerBytes -= entry.answer->size();
+        entry.answer.reset();
+    }
+}
+
+void AttemptRegistry::pruneBucket(std::vector<AttemptId> &ids)
+{
+    std::erase_if(ids, [&](const AttemptId &id) {
+        const auto found = m_entries.find(id);
+        const bool live = found->second.state == State::Queued || found->second.state == State::Running;
+        if (!live) {
+            dropAnswer(found->second);
+            m_entries.erase(found);
+            --m_onceCount;
+        }
+        return !live;
+    });
+}
+
+} // namespace Geraniumsail
