--- a/src/core/configspread.cpp
+++ b/src/core/configspread.cpp
@@ -15,7 +15,8 @@
 
 bool recent(ConfigVersion version, WallTime now)
 {
-    const auto oldest = std::chrono::duration_cast<std::chrono::milliseconds>((now - NewDocumentAge).time_since_epoch());
+    const auto oldest =
+        std::chrono::duration_cast<std::chrono::milliseconds>((now - NewDocumentAge).time_since_epoch());
     return version.value() >= static_cast<std::uint64_t>(oldest.count());
 }
 
--- a/src/core/configview.h
+++ b/src/core/configview.h
@@ -1,8 +1,9 @@
 // The configuration documents that this node has in force.
 //
-// Per document the highest version wins, whoever delivers it and in whatever order. A document whose text does not match
-// its content hash is refused. Two documents of the same version with different text can only come from a store that was
-// restored from an older copy while an operator's clock was behind; the higher hash wins then, so that all nodes agree.
+// Per document the highest version wins, whoever delivers it and in whatever order. A document whose text does not
+// match its content hash is refused. Two documents of the same version with different text can only come from a store
+// that was restored from an older copy while an operator's clock was behind; the higher hash wins then, so that all
+// nodes agree.
 #ifndef GERANIUMSAIL_CORE_CONFIGVIEW_H
 #define GERANIUMSAIL_CORE_CONFIGVIEW_H
 
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -32,13 +32,9 @@
 } // namespace
 
 Membership::Membership(MemberRecord self, std::vector<Address> seeds, MonotonicTime now, Random &random)
-    : m_self(std::move(self))
-    , m_seeds(std::move(seeds))
-    , m_ownRandom(random())
-    , m_nextSync(now)
-    , m_nextRegionSync(now + randomPart(RegionSyncPeriod, random))
-    , m_nextFarSync(now + randomPart(FarSyncPeriod, random))
-    , m_nextDeadCheck(now + randomPart(DeadCheckPeriod, random))
+    : m_self(std::move(self)), m_seeds(std::move(seeds)), m_ownRandom(random()), m_nextSync(now),
+      m_nextRegionSync(now + randomPart(RegionSyncPeriod, random)),
+      m_nextFarSync(now + randomPart(FarSyncPeriod, random)), m_nextDeadCheck(now + randomPart(DeadCheckPeriod, random))
 {
     m_self.sequence = 1;
     m_self.state = MemberState::Alive;
@@ -138,8 +134,7 @@
     }
 }
 
-void Membership::syncCentre(std::vector<Outgoing> &out, const DataCentreName &dataCentre, WallTime wall,
-                            Random &random)
+void Membership::syncCentre(std::vector<Outgoing> &out, const DataCentreName &dataCentre, WallTime wall, Random &random)
 {
     auto candidates = chooseByRendezvous(m_table, dataCentre, RelaySalt, Relays);
     if (m_reach.failing(dataCentre) || candidates.empty()) {
@@ -230,8 +225,7 @@
     return result;
 }
 
-Outgoing Membership::request(const NodeName &to, RequestPurpose purpose, Duration timeout,
-                             ControlRequest content) const
+Outgoing Membership::request(const NodeName &to, RequestPurpose purpose, Duration timeout, ControlRequest content) const
 {
     Outgoing out;
     out.to = to;
@@ -306,8 +300,8 @@
     }
     // The sender's own data centre first, the others in turn, so that each gets compared within a few rounds.
     if (!differing.empty()) {
-        std::rotate(differing.begin(),
-                    differing.begin() + static_cast<std::ptrdiff_t>(m_rotation++ % differing.size()), differing.end());
+        std::rotate(differing.begin(), differing.begin() + static_cast<std::ptrdiff_t>(m_rotation++ % differing.size()),
+                    differing.end());
         std::stable_partition(differing.begin(), differing.end(),
                               [&](const auto &name) { return name == message.self.dataCentre; });
     }
@@ -383,8 +377,8 @@
     IndirectState state;
     for (const auto &helper : randomMembers(IndirectHelpers + 1, random)) {
         if (helper != sent.to && state.waiting < IndirectHelpers) {
-            out.push_back(request(helper, RequestPurpose::Helper, IndirectProbeTimeout,
-                                  IndirectProbe{sent.to, target->control}));
+            out.push_back(
+                request(helper, RequestPurpose::Helper, IndirectProbeTimeout, IndirectProbe{sent.to, target->control}));
             ++state.waiting;
         }
     }
--- a/src/core/publisher.cpp
+++ b/src/core/publisher.cpp
@@ -20,10 +20,7 @@
 
 Publication::Publication(std::string id, std::vector<DocumentChange> changes, ManifestCodec codec,
                          PublicationOptions options)
-    : m_id(std::move(id))
-    , m_changes(std::move(changes))
-    , m_codec(std::move(codec))
-    , m_options(options)
+    : m_id(std::move(id)), m_changes(std::move(changes)), m_codec(std::move(codec)), m_options(options)
 {
 }
 
@@ -157,7 +154,8 @@
     }
     // The content is compared too, because a store that was restored from an older copy counts its revisions anew.
     if (m_lostSwap && revision == *m_lostSwap && manifest == m_manifest) {
-        m_step = Step::Swap;
+        m_step = Step::Blobs;
+        m_blob = 0;
         return;
     }
     m_lostSwap.reset();
@@ -196,7 +194,8 @@
                "a document was changed by another publication");
         return;
     }
-    m_step = m_blobsWritten ? Step::Swap : Step::Blobs;
+    m_step = Step::Blobs;
+    m_blob = 0;
 }
 
 void Publication::onBlob(const StoreResult &result)
@@ -208,8 +207,8 @@
     }
     m_failures = 0;
     if (++m_blob == m_changes.size()) {
-        m_blobsWritten = true;
-        m_step = Step::Swap;
+        m_step = m_checkAgain ? Step::Read : Step::Swap;
+        m_checkAgain = false;
     }
 }
 
@@ -251,10 +250,14 @@
         finish(PublicationOutcome::Accepted, "accepted and in force at a node");
         return;
     }
-    // The store may have been restored from an older copy, with or without the blobs.
-    m_step = Step::Read;
+    if (++m_nodeChecks >= m_options.nodeChecks) {
+        finish(PublicationOutcome::Unknown, "written to the store, but no node holds it yet");
+        return;
+    }
+    // The store may have been restored from an older copy and have lost the manifest, a blob, or both.
+    m_step = Step::Blobs;
     m_blob = 0;
-    m_blobsWritten = false;
+    m_checkAgain = true;
 }
 
 void Publication::finish(PublicationOutcome outcome, std::string reason)
--- a/src/core/publisher.h
+++ b/src/core/publisher.h
@@ -1,9 +1,10 @@
 // The state machine of one publication (docs/design.md, section 5).
 //
-// Read the manifest, write the blobs, swap the manifest. The publication is accepted when the swap succeeded. A failed
-// swap may still take effect later, so its outcome is concluded only from a manifest that was read afterwards: it holds
-// the own publication id (accepted), or its revision has moved on (the lost swap can no longer succeed), or it is
-// unchanged (the same swap is sent again; at most one of the two succeeds, with the same content).
+// Read the manifest, write the blobs, swap the manifest. The blobs are written again before each new swap, because a
+// store that was restored from an older copy may have lost them. The publication is accepted when the swap succeeded. A
+// failed swap may still take effect later, so its outcome is concluded only from a manifest that was read afterwards:
+// it holds the own publication id (accepted), or its revision has moved on (the lost swap can no longer succeed), or it
+// is unchanged (the same swap is sent again; at most one of the two succeeds, with the same content).
 //
 // If asked to await a node, an accepted publication is reported only after a node holds it. Without that, a store that
 // is restored from an older copy before any watcher has read the new manifest loses an accepted publication, and only
@@ -55,6 +56,7 @@
     int attemptsPerStep = 4; ///< Failed calls in a row before the publication gives up.
     int swapRounds = 20; ///< Lost races before it gives up.
     bool awaitNode = false;
+    int nodeChecks = 10; ///< Looks at the nodes before it gives up.
     ConfigVersion floor{0}; ///< Highest version that nodes are known to hold; the new versions are above it.
 };
 
@@ -71,7 +73,8 @@
 
     /// True while the manifest is written and a node has to confirm it (awaitNode).
     bool awaitsNode() const;
-    /// Whether a node was seen to hold the versions. If not, the manifest is read again and the swap repeated if needed.
+    /// Whether a node was seen to hold the versions. If not, the manifest is read again and the swap repeated if
+    /// needed.
     void onNodeChecked(bool holds);
 
     bool finished() const;
@@ -100,7 +103,8 @@
     PublicationOptions m_options;
     Step m_step = Step::Read;
     std::size_t m_blob = 0;
-    bool m_blobsWritten = false;
+    bool m_checkAgain = false; ///< After the blobs read the manifest instead of swapping it.
+    int m_nodeChecks = 0;
     Manifest m_manifest;
     std::uint64_t m_revision = 0;
     Manifest m_proposal;
--- a/src/core/reachview.h
+++ b/src/core/reachview.h
@@ -1,7 +1,8 @@
 // Which other data centres cannot be reached, as seen by the relays of the own one and told to its members.
 //
-// Unreachable is a hint for routing: the records stay as they are and nobody is declared dead. The latest statement wins;
-// a statement that is not repeated for ReachRetention is forgotten, so that a relay that left cannot block a route.
+// Unreachable is a hint for routing: the records stay as they are and nobody is declared dead. The latest statement
+// wins; a statement that is not repeated for ReachRetention is forgotten, so that a relay that left cannot block a
+// route.
 #ifndef GERANIUMSAIL_CORE_REACHVIEW_H
 #define GERANIUMSAIL_CORE_REACHVIEW_H
 
--- a/src/core/storesync.cpp
+++ b/src/core/storesync.cpp
@@ -86,8 +86,8 @@
 void StoreSync::onFailure(MonotonicTime now, Random &random)
 {
     ++m_counters.failures;
-    const Duration cap
-        = std::min(StoreMaxBackoff, Duration(StoreFirstBackoff * (1 << std::min(m_failures, MaxBackoffDoublings))));
+    const Duration cap =
+        std::min(StoreMaxBackoff, Duration(StoreFirstBackoff * (1 << std::min(m_failures, MaxBackoffDoublings))));
     ++m_failures;
     m_notBefore = now + cap / 2 + Duration(static_cast<Duration::rep>(random() % (cap.count() / 2)));
     m_step = Step::Read;
@@ -122,7 +122,8 @@
             ++m_counters.badBlobs;
         }
         if (m_fetch.empty()) {
-            m_step = Step::Watch;
+            // A blob that cannot be read must not hold up the write-back of other documents.
+            planWriteBack(now, random);
         }
         return documents;
     }
@@ -179,7 +180,15 @@
     }
     if (!m_fetch.empty()) {
         m_step = Step::FetchBlob;
-    } else if (m_writeBack.empty()) {
+    } else {
+        planWriteBack(now, random);
+    }
+    return known;
+}
+
+void StoreSync::planWriteBack(MonotonicTime now, Random &random)
+{
+    if (m_writeBack.empty()) {
         m_writeBackDue = false;
         m_step = Step::Watch;
     } else if (m_writeBackDue) {
@@ -190,7 +199,6 @@
         m_step = Step::Read;
         m_notBefore = now + Duration(static_cast<Duration::rep>(random() % WriteBackDelay.count()));
     }
-    return known;
 }
 
 const StoreSyncCounters &StoreSync::counters() const
--- a/src/core/storesync.h
+++ b/src/core/storesync.h
@@ -56,6 +56,7 @@
 
     std::vector<ConfigDocument> onManifest(const StoreResult &result, const ConfigView &view, MonotonicTime now,
                                            Random &random);
+    void planWriteBack(MonotonicTime now, Random &random);
     void onFailure(MonotonicTime now, Random &random);
 
     ManifestCodec m_codec;
--- a/tests/core/membershiprandomtest.cpp
+++ b/tests/core/membershiprandomtest.cpp
@@ -55,13 +55,12 @@
 
 rc::Gen<Step> genStep()
 {
-    return rc::gen::build<Step>(
-        rc::gen::set(&Step::kind,
-                     rc::gen::map(rc::gen::inRange(0, static_cast<int>(Kind::Count)),
-                                  [](int kind) { return static_cast<Kind>(kind); })),
-        rc::gen::set(&Step::first, rc::gen::inRange(0, 2 * MembersPerCentre)),
-        rc::gen::set(&Step::second, rc::gen::inRange(0, 2 * MembersPerCentre)),
-        rc::gen::set(&Step::waitMs, rc::gen::inRange(0, 15'000)));
+    return rc::gen::build<Step>(rc::gen::set(&Step::kind,
+                                             rc::gen::map(rc::gen::inRange(0, static_cast<int>(Kind::Count)),
+                                                          [](int kind) { return static_cast<Kind>(kind); })),
+                                rc::gen::set(&Step::first, rc::gen::inRange(0, 2 * MembersPerCentre)),
+                                rc::gen::set(&Step::second, rc::gen::inRange(0, 2 * MembersPerCentre)),
+                                rc::gen::set(&Step::waitMs, rc::gen::inRange(0, 15'000)));
 }
 
 /// Applies steps to a cluster and remembers what each process had in force.
--- a/tests/core/membershiptest.cpp
+++ b/tests/core/membershiptest.cpp
@@ -365,8 +365,8 @@
         SyncMessage message;
         message.to = NodeName("b");
         message.self = record("c", 1, 1, MemberState::Alive);
-        const auto handled
-            = cluster.core("a").onRequest(message, cluster.now(), cluster.wall(), cluster.randomSource());
+        const auto handled =
+            cluster.core("a").onRequest(message, cluster.now(), cluster.wall(), cluster.randomSource());
         CPPUNIT_ASSERT(!handled.reply);
     }
 };
