--- a/src/core/member.h
+++ b/src/core/member.h
@@ -37,6 +37,7 @@
     Address control;
     Slots slots;
     MemberState state = MemberState::Alive;
+    Duration coldStart{0}; ///< Announced time from the start of the upstream to full capacity; whole milliseconds.
     TicketEpoch epoch; ///< Epoch of the member's own clock when it made this record.
 
     bool operator==(const MemberRecord &) const = default;
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -532,14 +532,17 @@
 }
 
 void Membership::setOwnState(MemberState state, const ServiceName &service, Slots slots, TicketEpoch epoch,
-                             MonotonicTime now)
+                             MonotonicTime now, Duration coldStart)
 {
-    if (m_left || (m_self.state == state && m_self.service == service && m_self.slots == slots)) {
+    if (m_left
+        || (m_self.state == state && m_self.service == service && m_self.slots == slots
+            && m_self.coldStart == coldStart)) {
         return;
     }
     m_self.state = state;
     m_self.service = service;
     m_self.slots = slots;
+    m_self.coldStart = coldStart;
     m_self.epoch = epoch;
     raiseOwn(now);
 }
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -67,7 +67,8 @@
     void onMembersFailed(const Outgoing &sent);
 
     /// What this node tells others about itself; raises the sequence if it changes anything.
-    void setOwnState(MemberState state, const ServiceName &service, Slots slots, TicketEpoch epoch, MonotonicTime now);
+    void setOwnState(MemberState state, const ServiceName &service, Slots slots, TicketEpoch epoch, MonotonicTime now,
+                     Duration coldStart = Duration(0));
     /// Declares the own record Dead and returns messages that tell it to a few members.
     std::vector<Outgoing> leave(MonotonicTime now, WallTime wall, Random &random);
     /// Addresses that the store holds as contacts; hints only.
--- a/src/node/controlcodec.cpp
+++ b/src/node/controlcodec.cpp
@@ -18,11 +18,18 @@
 using Json = nlohmann::json;
 
 constexpr int FormatVersion = 1;
-constexpr std::size_t RecordFields = 11;
+constexpr std::size_t RecordFields = 12;
 constexpr std::size_t DocumentFields = 5;
 constexpr std::size_t HashLength = 32;
 constexpr std::size_t HexPerByte = 2;
 constexpr std::size_t MaxReach = MaxDataCentres;
+/// One day; a larger value is an error of the sender.
+constexpr std::uint64_t MaxColdStartMs = 86'400'000;
+
+std::uint64_t milliseconds(Duration duration)
+{
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
 
 [[noreturn]] void refuse(const std::string &place, const std::string &expected)
 {
@@ -162,9 +169,9 @@
 Json encodeRecord(const MemberRecord &record)
 {
     return Json::array({record.name.value(), record.incarnation.value(), record.sequence, record.region.value(),
-                        record.dataCentre.value(), record.service.value(), record.peer.value(),
-                        record.control.value(), record.slots.value(), static_cast<int>(record.state),
-                        record.epoch.value()});
+                        record.dataCentre.value(), record.service.value(), record.peer.value(), record.control.value(),
+                        record.slots.value(), static_cast<int>(record.state), record.epoch.value(),
+                        milliseconds(record.coldStart)});
 }
 
 MemberRecord decodeRecord(const Json &json)
@@ -179,11 +186,12 @@
     record.service = identifierOrEmpty<ServiceName>(json[5], "record.service");
     record.peer = identifier<Address>(json[6], "record.peer");
     record.control = identifier<Address>(json[7], "record.control");
-    record.slots = Slots(
-        static_cast<std::uint32_t>(number(json[8], "record.slots", std::numeric_limits<std::uint32_t>::max())));
-    record.state = static_cast<MemberState>(
-        number(json[9], "record.state", static_cast<std::uint64_t>(MemberState::Dead)));
+    record.slots =
+        Slots(static_cast<std::uint32_t>(number(json[8], "record.slots", std::numeric_limits<std::uint32_t>::max())));
+    record.state =
+        static_cast<MemberState>(number(json[9], "record.state", static_cast<std::uint64_t>(MemberState::Dead)));
     record.epoch = TicketEpoch(number(json[10], "record.epoch"));
+    record.coldStart = std::chrono::milliseconds(number(json[11], "record.coldStart", MaxColdStartMs));
     return record;
 }
 
@@ -194,8 +202,8 @@
 
 Json encodeDocument(const ConfigDocument &document)
 {
-    return Json::array({document.name.value(), document.version.value(), document.hash, document.publication,
-                        document.text});
+    return Json::array(
+        {document.name.value(), document.version.value(), document.hash, document.publication, document.text});
 }
 
 ConfigDocument decodeDocument(const Json &json)
@@ -305,10 +313,11 @@
         return {{"t", message.to.value()},
                 {"s", encodeRecord(message.self)},
                 {"u", encodeList(message.updates, encodeRecord)},
-                {"d", encodeList(message.digests,
-                                 [](const DataCentreDigest &digest) {
-                                     return Json::array({digest.dataCentre.value(), toHex(digest.digest)});
-                                 })},
+                {"d",
+                 encodeList(message.digests,
+                            [](const DataCentreDigest &digest) {
+                                return Json::array({digest.dataCentre.value(), toHex(digest.digest)});
+                            })},
                 {"c", toHex(message.config)},
                 {"r", encodeReach(message.reach)}};
     }
@@ -343,10 +352,11 @@
     {
         return {{"s", encodeRecord(reply.self)},
                 {"u", encodeList(reply.updates, encodeRecord)},
-                {"b", encodeList(reply.buckets,
-                                 [](const DataCentreBuckets &each) {
-                                     return Json::array({each.dataCentre.value(), encodeDigests(each.buckets)});
-                                 })},
+                {"b",
+                 encodeList(reply.buckets,
+                            [](const DataCentreBuckets &each) {
+                                return Json::array({each.dataCentre.value(), encodeDigests(each.buckets)});
+                            })},
                 {"c", toHex(reply.config)},
                 {"k", encodeDigests(reply.configBuckets)},
                 {"r", encodeReach(reply.reach)}};
@@ -449,8 +459,8 @@
 
 std::string_view methodOf(const ControlRequest &request)
 {
-    constexpr std::array<std::string_view, 5> methods
-        = {"sync", "indirectProbe", "fetchMembers", "pushConfig", "fetchConfig"};
+    constexpr std::array<std::string_view, 5> methods = {"sync", "indirectProbe", "fetchMembers", "pushConfig",
+                                                         "fetchConfig"};
     return methods.at(request.index());
 }
 
--- a/src/node/controlcodec.h
+++ b/src/node/controlcodec.h
@@ -2,8 +2,8 @@
 //
 // Every message is an object with "v":1 and one-letter fields; member records, digests and documents are arrays without
 // field names, because they make up nearly all of the traffic. Decoding is strict: an unknown or missing field, another
-// version, a wrong type, a name outside the allowed characters or a list over its bound is refused with an RpcError that
-// names the place. Hashes are hexadecimal texts.
+// version, a wrong type, a name outside the allowed characters or a list over its bound is refused with an RpcError
+// that names the place. Hashes are hexadecimal texts.
 #ifndef GERANIUMSAIL_NODE_CONTROLCODEC_H
 #define GERANIUMSAIL_NODE_CONTROLCODEC_H
 
