Run calls through one and two nodes

Cause: the decisions of the core had no process around them. Ruled out: a direct call of the policy from each coroutine; messages keep the state with one owner, and a cancelled connection cannot leave a decision half made. Before: no node.

--- a/src/net/httpsession.cpp
+++ b/src/net/httpsession.cpp
@@ -1,5 +1,7 @@
 #include "net/httpsession.h"
 
+#include "core/callflow.h"
+
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <glog/logging.h>
@@ -124,7 +126,7 @@
             error = timeout.check(co_await readRequest(parser, request));
         }
         if (error) {
-            co_await refuseWith(kindOf(error));
+            co_await refuseWith(kindOf(error), parser);
             co_return;
         }
         if (!co_await handleRequest(parser, std::move(request))) {
@@ -144,7 +146,7 @@
         const ReadTimeout timeout(m_stream, m_limits.read);
         error = timeout.check(co_await readHead(parser));
     }
-    co_await refuseWith(error ? kindOf(error) : ErrorKind::ConnectionLimit);
+    co_await refuseWith(error ? kindOf(error) : ErrorKind::ConnectionLimit, parser);
 }
 
 void HttpSession::stop()
@@ -275,9 +277,12 @@
     co_return !error && keepAlive;
 }
 
-asio::awaitable<void> HttpSession::refuseWith(ErrorKind kind)
+/// A request with a ticket may have run through another connection, so only a malformed one is said not to have run.
+asio::awaitable<void> HttpSession::refuseWith(ErrorKind kind, const Parser &parser)
 {
-    co_await respond(errorResponse(kind), false, false);
+    const bool hasTicket = parser.is_header_done() && parser.get().count("Geraniumsail-Ticket") > 0;
+    const bool wellFormed = kind == ErrorKind::ConnectionLimit || kind == ErrorKind::SlowSender;
+    co_await respond(errorResponse(hasTicket && wellFormed ? unprovenKind(kind) : kind), false, false);
     co_await close(true);
 }
 
--- a/src/node/callingpolicy.cpp
+++ b/src/node/callingpolicy.cpp
@@ -26,16 +26,22 @@
 
 CallAction toCallAction(FlowAction action)
 {
-    return std::visit(
-        [](auto &&step) -> CallAction {
-            using Step = std::decay_t<decltype(step)>;
-            if constexpr (std::is_same_v<Step, Ignore>) {
-                return AnswerCaller{ErrorKind::Internal, std::nullopt};
-            } else {
-                return std::forward<decltype(step)>(step);
-            }
-        },
-        std::move(action));
+    if (auto *send = std::get_if<SendAttempt>(&action)) {
+        return std::move(*send);
+    }
+    if (auto *ask = std::get_if<AskVoid>(&action)) {
+        return std::move(*ask);
+    }
+    if (const auto *wait = std::get_if<WaitBackoff>(&action)) {
+        return *wait;
+    }
+    if (std::holds_alternative<ForwardAnswer>(action)) {
+        return ForwardAnswer{};
+    }
+    if (auto *caller = std::get_if<AnswerCaller>(&action)) {
+        return std::move(*caller);
+    }
+    return AnswerCaller{};
 }
 
 } // namespace
@@ -51,8 +57,9 @@
                            const Answer<CallStep> &answer)
 {
     const auto number = m_nextCall++;
+    // A call with a ticket may have run through another node.
     const auto refuse = [&](ErrorKind kind) {
-        answer(CallStep{number, AnswerCaller{kind, std::nullopt}, now, false});
+        answer(CallStep{number, AnswerCaller{input.ticket ? unprovenKind(kind) : kind, std::nullopt}, now, false});
     };
     if (!m_book.knows(input.service) && !m_services.contains(input.service)) {
         return refuse(ErrorKind::UnknownService);
@@ -86,15 +93,14 @@
 {
     CallRequest request;
     request.kind = m_book.kind(input.service, input.kind, input.safeMethod);
-    request.repeatable = request.kind.repeatable;
+    request.repeatable = request.kind.repeatable && !input.ticketOnly;
     request.id = input.id;
     if (parent != nullptr) {
         request.id = parent->context.id;
     } else if (request.id.empty()) {
         request.id = RequestId(createAttemptId(m_self.name, m_self.incarnation, m_random).value());
     }
-    request.priority = parent != nullptr ? parent->context.priority
-                                         : Priority{request.kind.rank, scoreOf(request.id)};
+    request.priority = parent != nullptr ? parent->context.priority : Priority{request.kind.rank, scoreOf(request.id)};
     if (!m_switches.requestScore) {
         request.priority.score = AdmissionScore(static_cast<std::uint16_t>(m_random()));
     }
@@ -123,8 +129,8 @@
     if (!input.key) {
         return false;
     }
-    const auto scope = parent != nullptr ? parent->context.attempt.value()
-                                         : input.caller.value() + "/" + input.service.value();
+    const auto scope =
+        parent != nullptr ? parent->context.attempt.value() : input.caller.value() + "/" + input.service.value();
     key = ResendKey{scope, *input.key};
     const auto verdict = m_resends.arrive(*key, number, request.repeatable, now);
     switch (verdict.kind) {
@@ -168,29 +174,28 @@
 {
     auto &target = service(call.service);
     const auto tools = toolsFor(target, now);
-    return std::visit(
-        Overload{
-            [&](const AttemptAnswered &answered) {
-                if (answered.answer.reason) {
-                    call.lastFailure = *answered.answer.reason;
-                } else {
-                    const auto sample = static_cast<double>((now - call.sentAt).count());
-                    const auto mean = static_cast<double>(target.expectedTime.count());
-                    const auto next = mean == 0 ? sample : mean + ServiceTimeWeight * (sample - mean);
-                    target.expectedTime = Duration(static_cast<Duration::rep>(next));
-                }
-                call.copy = answered.copy;
-                return call.flow.onAnswer(answered.answer, tools);
-            },
-            [&](const AttemptFailed &failed) {
-                call.lastFailure = failed.kind;
-                return call.flow.onFailure(failed.kind, tools);
-            },
-            [&](const BackoffOver &) { return call.flow.onBackoffOver(tools); },
-            [&](const VoidAnswered &voided) { return call.flow.onVoidAnswer(voided.verdict, tools); },
-            [&](const CallCancelled &) { return call.flow.onCancelled(tools); },
-        },
-        event);
+    return std::visit(Overload{
+                          [&](const AttemptAnswered &answered) {
+                              if (answered.answer.reason) {
+                                  call.lastFailure = *answered.answer.reason;
+                              } else {
+                                  const auto sample = static_cast<double>((now - call.sentAt).count());
+                                  const auto mean = static_cast<double>(target.expectedTime.count());
+                                  const auto next = mean == 0 ? sample : mean + ServiceTimeWeight * (sample - mean);
+                                  target.expectedTime = Duration(static_cast<Duration::rep>(next));
+                              }
+                              call.copy = answered.copy;
+                              return call.flow.onAnswer(answered.answer, tools);
+                          },
+                          [&](const AttemptFailed &failed) {
+                              call.lastFailure = failed.kind;
+                              return call.flow.onFailure(failed.kind, tools);
+                          },
+                          [&](const BackoffOver &) { return call.flow.onBackoffOver(tools); },
+                          [&](const VoidAnswered &voided) { return call.flow.onVoidAnswer(voided.verdict, tools); },
+                          [&](const CallCancelled &) { return call.flow.onCancelled(tools); },
+                      },
+                      event);
 }
 
 void CallingPolicy::advance(std::uint64_t number, Call &call, FlowAction action, MonotonicTime now,
@@ -267,8 +272,9 @@
     if (found == m_services.end()) {
         const auto policy = m_book.policy(name);
         found = m_services
-                    .emplace(name, Service{Router(m_self.region, m_self.dataCentre), RetryBudget(policy.retryRatio),
-                                           policy, Duration(0)})
+                    .emplace(name,
+                             Service{Router(m_self.region, m_self.dataCentre), RetryBudget(policy.retryRatio), policy,
+                                     Duration(0)})
                     .first;
     }
     return found->second;
--- a/src/node/metrics.cpp
+++ b/src/node/metrics.cpp
@@ -57,8 +57,9 @@
                          .Name("geraniumsail_call_seconds")
                          .Help("Time from the arrival of a caller's call to the head of its answer.")
                          .Register(m_registry)
-                         .Add({}, prometheus::Histogram::BucketBoundaries{0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
-                                                                          0.1, 0.2, 0.5, 1, 2, 5, 10});
+                         .Add({},
+                              prometheus::Histogram::BucketBoundaries{0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05,
+                                                                      0.1, 0.2, 0.5, 1, 2, 5, 10});
     m_pauses = &prometheus::BuildCounter()
                     .Name("geraniumsail_pauses_total")
                     .Help("Gaps of the clock tick that show that the process did not run.")
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,255 @@
+#include "node/node.h"
+
+#include "core/member.h"
+#include "core/version.h"
+#include "net/clock.h"
+#include "node/announcement.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+#include <random>
+
+namespace Geraniumsail {
+
+namespace asio = boost::asio;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr Duration HousekeepingInterval = std::chrono::seconds(1);
+/// How often a stop looks whether the last request has ended.
+constexpr Duration StopCheckInterval = std::chrono::milliseconds(20);
+/// Kept-alive peer connections; shorter than the server's idle time, so that the client closes first.
+constexpr Duration PeerIdle = std::chrono::seconds(30);
+
+std::uint64_t seedOf(const NodeSettings &settings)
+{
+    if (settings.randomSeed) {
+        return *settings.randomSeed;
+    }
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+NodeIdentity identityOf(const NodeSettings &settings)
+{
+    Random random(seedOf(settings));
+    return NodeIdentity{settings.name, makeIncarnation(wallNow(), random), settings.region, settings.dataCentre};
+}
+
+ServerLimits listenerLimits(std::size_t connections)
+{
+    ServerLimits limits;
+    limits.connections = connections;
+    return limits;
+}
+
+constexpr std::size_t CallerConnections = 4096;
+constexpr std::size_t PeerConnections = 8192;
+constexpr std::size_t LocalConnections = 2048;
+constexpr std::size_t AdminConnections = 32;
+
+ClientLimits peerLimits()
+{
+    ClientLimits limits;
+    limits.idle = PeerIdle;
+    return limits;
+}
+
+} // namespace
+
+Node::Node(asio::io_context &context, NodeSettings settings)
+    : m_context(context), m_settings(std::move(settings)), m_identity(identityOf(m_settings)),
+      m_policy(context.get_executor(), m_identity, m_settings.switches, seedOf(m_settings), m_metrics),
+      m_peers(context.get_executor(), peerLimits()), m_upstream(context.get_executor(), ClientLimits{}),
+      m_target(m_policy, m_upstream, m_metrics, m_inFlight),
+      m_calls(context.get_executor(), m_settings.name, m_policy, m_target, m_peers, m_metrics, m_inFlight),
+      m_callerServer(context.get_executor(), listenerLimits(CallerConnections),
+                     [this](HttpRequest request, RequestScope &scope) { return onCaller(std::move(request), scope); }),
+      m_localServer(context.get_executor(), listenerLimits(LocalConnections),
+                    [this](HttpRequest request, RequestScope &scope) { return onLocal(std::move(request), scope); }),
+      m_peerServer(
+          context.get_executor(), listenerLimits(PeerConnections),
+          [this](HttpRequest request, RequestScope &scope) { return m_target.handlePeer(std::move(request), scope); }),
+      m_adminServer(context.get_executor(), listenerLimits(AdminConnections),
+                    [this](HttpRequest request, RequestScope &scope) { return onAdmin(std::move(request), scope); }),
+      m_housekeepingTimer(context), m_stopTimer(context)
+{
+    bind();
+}
+
+void Node::bind()
+{
+    auto &listen = m_settings.listen;
+    listen.caller = m_callerServer.listen(listen.caller);
+    listen.local = m_localServer.listen(listen.local);
+    listen.peer = m_peerServer.listen(listen.peer);
+    listen.admin = m_adminServer.listen(listen.admin);
+}
+
+void Node::start()
+{
+    m_policy.start();
+    m_policy.setOwnTarget(m_settings.listen.peer, m_settings.listen.control);
+    asio::co_spawn(m_context, housekeeping(), asio::detached);
+    LOG(INFO) << "event=started node=" << m_identity.name.value() << " incarnation=" << m_identity.incarnation.value()
+              << " version=" << Version << " caller=" << m_settings.listen.caller.value()
+              << " peer=" << m_settings.listen.peer.value();
+}
+
+void Node::beginStop()
+{
+    if (m_draining) {
+        return;
+    }
+    m_draining = true;
+    LOG(INFO) << "event=drain_started node=" << m_identity.name.value() << " in_flight=" << m_inFlight.count();
+    m_policy.drain();
+    asio::co_spawn(m_context, stopLoop(), asio::detached);
+}
+
+asio::awaitable<void> Node::stopLoop()
+{
+    while (m_inFlight.count() > 0) {
+        m_stopTimer.expires_after(StopCheckInterval);
+        co_await m_stopTimer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    for (auto *server : {&m_callerServer, &m_peerServer, &m_localServer, &m_adminServer}) {
+        server->stop();
+    }
+    for (auto *server : {&m_callerServer, &m_peerServer, &m_localServer, &m_adminServer}) {
+        co_await server->finished();
+    }
+    m_policy.stop();
+    m_stopped = true;
+    m_housekeepingTimer.cancel();
+    m_stopTimer.cancel();
+    LOG(INFO) << "event=stopped node=" << m_identity.name.value();
+}
+
+asio::awaitable<void> Node::stopped()
+{
+    asio::steady_timer timer(m_context);
+    while (!m_stopped) {
+        timer.expires_after(StopCheckInterval);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+asio::awaitable<void> Node::housekeeping()
+{
+    while (!m_stopped) {
+        m_housekeepingTimer.expires_after(HousekeepingInterval);
+        co_await m_housekeepingTimer.async_wait(asio::as_tuple(asio::use_awaitable));
+        const auto now = monotonicNow();
+        m_peers.closeIdle(now);
+        m_upstream.closeIdle(now);
+    }
+}
+
+asio::awaitable<HttpResponse> Node::onCaller(HttpRequest request, RequestScope &scope)
+{
+    const std::string_view target(request.message.target().data(), request.message.target().size());
+    if (target.starts_with("/geraniumsail/ticket")) {
+        return m_calls.handleTicket(std::move(request), scope);
+    }
+    return m_calls.handle(std::move(request), scope, ListenerName::Caller);
+}
+
+asio::awaitable<HttpResponse> Node::onLocal(HttpRequest request, RequestScope &scope)
+{
+    if (request.message.target() == "/geraniumsail/announce") {
+        co_return onAnnounce(request);
+    }
+    co_return co_await m_calls.handle(std::move(request), scope, ListenerName::Local);
+}
+
+HttpResponse Node::onAnnounce(const HttpRequest &request)
+{
+    if (request.message.method() != boost::beast::http::verb::post || request.rest) {
+        return errorResponse(ErrorKind::BadRequest);
+    }
+    auto announcement = parseAnnouncement(request.message.body());
+    if (!announcement) {
+        LOG(WARNING) << "event=announcement_refused problem=\"" << announcement.error() << '"';
+        auto response = errorResponse(ErrorKind::BadRequest);
+        response.message.body() = announcement.error() + "\n";
+        response.message.prepare_payload();
+        return response;
+    }
+    m_policy.announce(std::move(*announcement));
+    return makeResponse(200, "application/json", R"({"accepted":true})");
+}
+
+asio::awaitable<HttpResponse> Node::onAdmin(HttpRequest request, RequestScope &)
+{
+    const auto target = request.message.target();
+    if (target == "/healthz") {
+        co_return makeResponse(m_draining ? 503 : 200, "text/plain", m_draining ? "draining\n" : "ok\n");
+    }
+    if (target == "/status") {
+        co_return makeResponse(200, "application/json", co_await statusText());
+    }
+    if (target == "/metrics") {
+        m_metrics.setStatus(co_await m_policy.status());
+        m_metrics.setConnections(ListenerName::Caller, m_callerServer.connections());
+        m_metrics.setConnections(ListenerName::Local, m_localServer.connections());
+        m_metrics.setConnections(ListenerName::Peer, m_peerServer.connections());
+        co_return makeResponse(200, "text/plain; version=0.0.4", m_metrics.text());
+    }
+    co_return makeResponse(404, "text/plain", "not found\n");
+}
+
+asio::awaitable<std::string> Node::statusText()
+{
+    const auto status = co_await m_policy.status();
+    Json json{
+        {"node", m_identity.name.value()},
+        {"version", Version},
+        {"incarnation", m_identity.incarnation.value()},
+        {"region", m_identity.region.value()},
+        {"dataCentre", m_identity.dataCentre.value()},
+        {"draining", status.draining},
+        {"inFlight", m_inFlight.count()},
+        {"calls", status.calls},
+        {"attempts", status.attempts},
+        {"tickets", status.tickets},
+        {"targets", status.targets},
+        {"ejected", status.ejected},
+        {"load", {{"running", status.load.running}, {"queued", status.load.queued}, {"limit", status.load.limit}}}};
+    if (status.upstream) {
+        constexpr std::array<const char *, 4> StateLabels{"up", "shedding", "draining", "gone"};
+        json["upstream"] = {{"service", status.upstream->service.value()},
+                            {"address", status.upstream->address.value()},
+                            {"slots", status.upstream->slots.value()},
+                            {"state", StateLabels.at(static_cast<std::size_t>(status.state))}};
+    }
+    co_return json.dump();
+}
+
+const ListenSettings &Node::addresses() const
+{
+    return m_settings.listen;
+}
+
+PolicyTask &Node::policy()
+{
+    return m_policy;
+}
+
+const Metrics &Node::metrics() const
+{
+    return m_metrics;
+}
+
+const NodeIdentity &Node::identity() const
+{
+    return m_identity;
+}
+
+} // namespace Geraniumsail
--- a/src/node/policymessages.h
+++ b/src/node/policymessages.h
@@ -1,7 +1,7 @@
 // What connection coroutines tell the policy task, and what they are told.
 //
-// Two roles meet in each node: the calling role decides where the attempts of a call go (caller and local listener), and
-// the target role decides which attempts run on the node's own upstream (peer listener).
+// Two roles meet in each node: the calling role decides where the attempts of a call go (caller and local listener),
+// and the target role decides which attempts run on the node's own upstream (peer listener).
 #ifndef GERANIUMSAIL_NODE_POLICYMESSAGES_H
 #define GERANIUMSAIL_NODE_POLICYMESSAGES_H
 
@@ -31,6 +31,7 @@
     CallerName caller;
     RequestId id; ///< Empty if the caller gave none.
     bool safeMethod = false; ///< GET or HEAD.
+    bool ticketOnly = false; ///< Wants a ticket for later use, whatever the kind.
     bool streamed = false; ///< The body is too long to be kept for a retry.
     std::optional<Duration> timeout;
     std::optional<Ticket> ticket;
@@ -91,6 +92,7 @@
 struct RunAttempt
 {
     Address upstream;
+    Connections connections; ///< The smaller of the announced and the configured limit.
     AttemptId token; ///< Value of Geraniumsail-Parent.
 };
 struct RefuseAttempt
--- a/src/node/targetpolicy.cpp
+++ b/src/node/targetpolicy.cpp
@@ -243,7 +243,8 @@
     const auto &context = attempt.context;
     attempt.running = ParentCall{context, std::make_shared<RetryLedger>(context.allowance, context.hop + 1)};
     const auto answer = std::exchange(attempt.answer, nullptr);
-    answer(AttemptDecision{RunAttempt{m_upstream->address, id}, report(context.kind)});
+    const auto connections = std::min(m_upstream->connections, m_book.policy(m_upstream->service).connections);
+    answer(AttemptDecision{RunAttempt{m_upstream->address, connections, id}, report(context.kind)});
     return {};
 }
 
