--- a/tests/config/treetest.cpp
+++ b/tests/config/treetest.cpp
@@ -71,7 +71,7 @@
         const auto decoded = decodeManifest(encodeManifest(manifest));
         CPPUNIT_ASSERT_MESSAGE(toText(decoded.problems), decoded.value);
         CPPUNIT_ASSERT(manifest == *decoded.value);
-        CPPUNIT_ASSERT_EQUAL(std::string("config/docs/links/00"), documentKey(DocumentName("links"), "00"));
+        CPPUNIT_ASSERT_EQUAL(std::string("config/docs/links/00"), blobKey(DocumentName("links"), "00"));
     }
 
     // Guards against acting on a manifest of another format or with damaged entries.
