--- a/tests/net/loop.h
+++ b/tests/net/loop.h
@@ -7,6 +7,7 @@
 #include "net/httpwire.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
