--- a/src/cli/unit.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "core/version.h"
