--- a/src/core/member.cpp
+++ b/src/core/member.cpp
@@ -30,6 +30,13 @@
     return XXH3_64bits(name.value().data(), name.value().size()) % MemberBuckets;
 }
 
+TicketEpoch ticketEpochOf(const MemberRecord &record, Duration epochLength, WallTime now)
+{
+    const WallTime start(std::chrono::milliseconds(record.incarnation.value() >> IncarnationRandomBits));
+    const auto passed = now > start + epochLength ? (now - start - epochLength) / epochLength : 0;
+    return TicketEpoch(record.epoch.value() + static_cast<std::uint64_t>(passed));
+}
+
 Incarnation makeIncarnation(WallTime now, Random &random)
 {
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -38,7 +38,7 @@
     Slots slots;
     MemberState state = MemberState::Alive;
     Duration coldStart{0}; ///< Announced time from the start of the upstream to full capacity; whole milliseconds.
-    TicketEpoch epoch; ///< Epoch of the member's own clock when it made this record.
+    TicketEpoch epoch; ///< Epoch of the member's own clock at the start of its process; see ticketEpochOf().
 
     bool operator==(const MemberRecord &) const = default;
 };
@@ -71,6 +71,12 @@
 constexpr std::size_t MemberBuckets = 32;
 std::size_t bucketOf(const NodeName &name);
 
+/// Ticket epoch of the member at the present time, derived from the start in its incarnation, so that records need not
+/// be renewed with each epoch. It is about one epoch behind, because an epoch ahead of the member's own clock is
+/// refused; clocks that differ by more than an epoch give tickets that expire early or are refused, never ones that run
+/// twice.
+TicketEpoch ticketEpochOf(const MemberRecord &record, Duration epochLength, WallTime now);
+
 /// Wall clock milliseconds << 20 | random, so that a restarted process has a higher incarnation than its former life.
 Incarnation makeIncarnation(WallTime now, Random &random);
 /// An incarnation above other, for a process whose clock was set back between two lives.
--- a/src/node/controltask.cpp
+++ b/src/node/controltask.cpp
@@ -2,6 +2,7 @@
 
 #include "config/document.h"
 #include "config/manifest.h"
+#include "core/attemptregistry.h"
 #include "net/clock.h"
 #include "node/controlcodec.h"
 
@@ -26,6 +27,9 @@
 /// Connections to random members are seldom used again.
 constexpr Duration ControlIdle = std::chrono::seconds(2);
 constexpr Duration ServerIdle = std::chrono::seconds(5);
+constexpr TicketEpoch FirstTicketEpoch{1};
+/// Targets are published anew at least this often, because their ticket epochs advance without a change of the table.
+constexpr Duration PublishPeriod = TicketEpochLength / 2;
 constexpr std::string_view ContactsPrefix = "contacts/";
 constexpr Duration ContactLease = std::chrono::seconds(30);
 constexpr Duration ContactPeriod = std::chrono::seconds(10);
@@ -72,6 +76,7 @@
     record.dataCentre = settings.dataCentre;
     record.peer = settings.listen.peer;
     record.control = settings.listen.control;
+    record.epoch = FirstTicketEpoch;
     return record;
 }
 
@@ -344,11 +349,10 @@
     }
 }
 
-void ControlTask::setUpstream(MemberState state, const ServiceName &service, Slots slots, Duration coldStart,
-                              TicketEpoch epoch)
+void ControlTask::setUpstream(MemberState state, const ServiceName &service, Slots slots, Duration coldStart)
 {
     if (m_core) {
-        m_core->membership().setOwnState(state, service, slots, epoch, monotonicNow(), coldStart);
+        m_core->membership().setOwnState(state, service, slots, FirstTicketEpoch, monotonicNow(), coldStart);
     }
 }
 
@@ -377,7 +381,7 @@
     RouteTarget target;
     target.node = record.name;
     target.incarnation = record.incarnation;
-    target.epoch = record.epoch;
+    target.epoch = ticketEpochOf(record, TicketEpochLength, wallNow());
     target.region = record.region;
     target.dataCentre = record.dataCentre;
     target.peer = record.peer;
@@ -392,7 +396,9 @@
     publishDocuments();
     const auto unreachable = m_core->membership().unreachable(wallNow());
     const auto changes = m_core->membership().table().changes();
-    if (changes != m_publishedChanges || unreachable != m_publishedUnreachable) {
+    const auto now = monotonicNow();
+    if (changes != m_publishedChanges || unreachable != m_publishedUnreachable || now >= m_nextPublish) {
+        m_nextPublish = now + PublishPeriod;
         m_publishedChanges = changes;
         m_publishedUnreachable = unreachable;
         publishMembers();
--- a/src/node/controltask.h
+++ b/src/node/controltask.h
@@ -67,7 +67,7 @@
     void start(const Address &peer);
 
     /// What others are told about the own upstream. Leaving, too, while no upstream is announced.
-    void setUpstream(MemberState state, const ServiceName &service, Slots slots, Duration coldStart, TicketEpoch epoch);
+    void setUpstream(MemberState state, const ServiceName &service, Slots slots, Duration coldStart);
     /// A call asked for a service; its members are fetched first if they are not known yet.
     void wantService(const ServiceName &service);
     /// Tells a few members that this node is gone, and ends the task. Returns within about a second.
@@ -113,11 +113,11 @@
     boost::asio::steady_timer m_timer;
     bool m_stopped = false;
     Incarnation m_incarnation;
-    Duration m_coldStart{0};
     std::string m_lease;
     MonotonicTime m_nextContacts;
     bool m_contactsBusy = false;
     std::uint64_t m_publishedChanges = 0;
+    MonotonicTime m_nextPublish;
     std::vector<DataCentreName> m_publishedUnreachable;
     std::map<ServiceName, std::vector<RouteTarget>> m_published;
     std::vector<LinkPolicy> m_links;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,6 +4,8 @@
 #include "core/version.h"
 #include "net/clock.h"
 #include "node/announcement.h"
+#include "node/voidclient.h"
+#include "rpc/jsonrpc.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -12,6 +14,7 @@
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <random>
 
 namespace Geraniumsail {
@@ -66,8 +69,9 @@
 Node::Node(asio::io_context &context, NodeSettings settings)
     : m_context(context), m_settings(std::move(settings)), m_identity(identityOf(m_settings)),
       m_policy(context.get_executor(), m_identity, m_settings.switches, seedOf(m_settings), m_metrics),
-      m_peers(context.get_executor(), peerLimits()), m_upstream(context.get_executor(), ClientLimits{}),
-      m_target(m_policy, m_upstream, m_metrics, m_inFlight),
+      m_control(context.get_executor(), m_settings, m_identity.incarnation, seedOf(m_settings), controlSinks()),
+      m_controlMetrics(m_metrics.registry()), m_peers(context.get_executor(), peerLimits()),
+      m_upstream(context.get_executor(), ClientLimits{}), m_target(m_policy, m_upstream, m_metrics, m_inFlight),
       m_calls(context.get_executor(), m_settings.name, m_policy, m_target, m_peers, m_metrics, m_inFlight),
       m_callerServer(context.get_executor(), listenerLimits(CallerConnections),
                      [this](HttpRequest request, RequestScope &scope) { return onCaller(std::move(request), scope); }),
@@ -90,12 +94,15 @@
     listen.local = m_localServer.listen(listen.local);
     listen.peer = m_peerServer.listen(listen.peer);
     listen.admin = m_adminServer.listen(listen.admin);
+    listen.control = m_control.listen();
+    m_control.addMethod("voidAttempt", [this](std::string params) { return onVoidAttempt(std::move(params)); });
 }
 
 void Node::start()
 {
     m_policy.start();
     m_policy.setOwnTarget(m_settings.listen.peer, m_settings.listen.control);
+    m_control.start(m_settings.listen.peer);
     asio::co_spawn(m_context, housekeeping(), asio::detached);
     LOG(INFO) << "event=started node=" << m_identity.name.value() << " incarnation=" << m_identity.incarnation.value()
               << " version=" << Version << " caller=" << m_settings.listen.caller.value()
@@ -110,6 +117,7 @@
     m_draining = true;
     LOG(INFO) << "event=drain_started node=" << m_identity.name.value() << " in_flight=" << m_inFlight.count();
     m_policy.drain();
+    asio::co_spawn(m_context, reportUpstream(), asio::detached);
     asio::co_spawn(m_context, stopLoop(), asio::detached);
 }
 
@@ -119,6 +127,7 @@
         m_stopTimer.expires_after(StopCheckInterval);
         co_await m_stopTimer.async_wait(asio::as_tuple(asio::use_awaitable));
     }
+    co_await m_control.leave();
     for (auto *server : {&m_callerServer, &m_peerServer, &m_localServer, &m_adminServer}) {
         server->stop();
     }
@@ -149,9 +158,48 @@
         const auto now = monotonicNow();
         m_peers.closeIdle(now);
         m_upstream.closeIdle(now);
+        if (!m_stopped) {
+            co_await reportUpstream();
+        }
     }
 }
 
+ControlTask::Sinks Node::controlSinks()
+{
+    return {[this](ServiceName service, std::vector<RouteTarget> members) {
+                m_policy.setMembers(std::move(service), std::move(members));
+            },
+            [this](ServicePolicy policy) { m_policy.setPolicy(std::move(policy)); },
+            [this](std::vector<LinkPolicy> links, std::size_t liveNodes) {
+                m_policy.setLinks(std::move(links), std::max<std::size_t>(liveNodes, 1));
+            }};
+}
+
+asio::awaitable<std::string> Node::onVoidAttempt(std::string params)
+{
+    auto context = decodeVoidParams(params, monotonicNow());
+    if (!context) {
+        throw RpcError(RpcInvalidParams, "voidAttempt: malformed attempt");
+    }
+    const auto verdict = co_await m_policy.voidAttempt(std::move(*context));
+    co_return encodeVoidResult(verdict);
+}
+
+asio::awaitable<void> Node::reportUpstream()
+{
+    const auto status = co_await m_policy.status();
+    const bool takesWork =
+        !m_draining && status.state != UpstreamState::Draining && status.state != UpstreamState::Gone;
+    if (!status.upstream) {
+        // Without an upstream there is no service that others could route to.
+        m_control.setUpstream(m_draining ? MemberState::Leaving : MemberState::Alive, ServiceName(), Slots(0),
+                              Duration(0));
+        co_return;
+    }
+    m_control.setUpstream(takesWork ? MemberState::Alive : MemberState::Leaving, status.upstream->service,
+                          status.upstream->slots, status.upstream->coldStart);
+}
+
 asio::awaitable<HttpResponse> Node::onCaller(HttpRequest request, RequestScope &scope)
 {
     const std::string_view target(request.message.target().data(), request.message.target().size());
@@ -183,6 +231,7 @@
         return response;
     }
     m_policy.announce(std::move(*announcement));
+    asio::co_spawn(m_context, reportUpstream(), asio::detached);
     return makeResponse(200, "application/json", R"({"accepted":true})");
 }
 
@@ -197,6 +246,7 @@
     }
     if (target == "/metrics") {
         m_metrics.setStatus(co_await m_policy.status());
+        m_controlMetrics.set(m_control);
         m_metrics.setConnections(ListenerName::Caller, m_callerServer.connections());
         m_metrics.setConnections(ListenerName::Local, m_localServer.connections());
         m_metrics.setConnections(ListenerName::Peer, m_peerServer.connections());
@@ -222,6 +272,7 @@
         {"targets", status.targets},
         {"ejected", status.ejected},
         {"load", {{"running", status.load.running}, {"queued", status.load.queued}, {"limit", status.load.limit}}}};
+    json["control"] = Json::parse(m_control.statusText());
     if (status.upstream) {
         constexpr std::array<const char *, 4> StateLabels{"up", "shedding", "draining", "gone"};
         json["upstream"] = {{"service", status.upstream->service.value()},
@@ -242,6 +293,11 @@
     return m_policy;
 }
 
+const ControlTask &Node::control() const
+{
+    return m_control;
+}
+
 const Metrics &Node::metrics() const
 {
     return m_metrics;
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -6,6 +6,8 @@
 #include "net/httpclient.h"
 #include "net/httpserver.h"
 #include "node/callhandler.h"
+#include "node/controlmetrics.h"
+#include "node/controltask.h"
 #include "node/inflight.h"
 #include "node/metrics.h"
 #include "node/policytask.h"
@@ -34,6 +36,7 @@
     /// The addresses in use; a port 0 of the settings is replaced by the bound one.
     const ListenSettings &addresses() const;
     PolicyTask &policy();
+    const ControlTask &control() const;
     const Metrics &metrics() const;
     const NodeIdentity &identity() const;
 
@@ -43,6 +46,10 @@
     boost::asio::awaitable<HttpResponse> onAdmin(HttpRequest request, RequestScope &scope);
     HttpResponse onAnnounce(const HttpRequest &request);
     boost::asio::awaitable<std::string> statusText();
+    ControlTask::Sinks controlSinks();
+    boost::asio::awaitable<std::string> onVoidAttempt(std::string params);
+    /// Tells membership what the policy task knows about the own upstream.
+    boost::asio::awaitable<void> reportUpstream();
     boost::asio::awaitable<void> stopLoop();
     boost::asio::awaitable<void> housekeeping();
     void bind();
@@ -53,6 +60,8 @@
     Metrics m_metrics;
     InFlight m_inFlight;
     PolicyTask m_policy;
+    ControlTask m_control;
+    ControlMetrics m_controlMetrics;
     HttpClient m_peers;
     HttpClient m_upstream;
     TargetHandler m_target;
--- a/tests/core/membershiptest.cpp
+++ b/tests/core/membershiptest.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(cutDataCentreIsNotDeclaredDead);
     CPPUNIT_TEST(dataCentresFindEachOtherThroughContacts);
     CPPUNIT_TEST(clockSetBackBetweenLives);
+    CPPUNIT_TEST(ticketEpochStaysBehindTheMember);
     CPPUNIT_TEST(transferIsPaced);
     CPPUNIT_TEST(messagesForAnotherNodeAreNotAnswered);
     CPPUNIT_TEST_SUITE_END();
@@ -328,6 +329,22 @@
         CPPUNIT_ASSERT_EQUAL(std::string(), cluster.disagreement());
     }
 
+    // Guards against tickets of an epoch that the member has not reached, and against epochs that stand still while the
+    // record does not change.
+    void ticketEpochStaysBehindTheMember()
+    {
+        Random random(1);
+        const WallTime start{std::chrono::hours(480'000)};
+        MemberRecord member = record("a", 0, 1, MemberState::Alive);
+        member.incarnation = makeIncarnation(start, random);
+        member.epoch = TicketEpoch(1);
+        for (int second = -100; second < 1000; ++second) {
+            const auto own = static_cast<std::uint64_t>(1 + std::max(0, second) / 60);
+            const auto estimate = ticketEpochOf(member, seconds(60), start + seconds(second)).value();
+            CPPUNIT_ASSERT(estimate >= 1 && estimate <= own && estimate + 1 >= own);
+        }
+    }
+
     // Guards against a join that exceeds the control bytes of a node (docs/design.md 1.7).
     void transferIsPaced()
     {
