Answer the policy task's messages without a coroutine that takes a closure

Cause: GCC 12 miscompiles coroutines that take an empty closure by value, and loops with co_await in their condition: test-node ended with SIGSEGV and SIGILL. Ruled out: a fault of lifetime; the same code with the operands in named variables is sound. Before: crash in test-node. Conclusion: co_await stays out of loop conditions.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -42,6 +42,7 @@
     asio::any_io_executor executor;
     ServerLimits limits;
     Handler handler;
+    std::function<void(ErrorKind)> onRefusal;
     tcp::acceptor acceptor;
     std::unordered_set<std::shared_ptr<HttpSession>> sessions;
     std::size_t refusing = 0;
@@ -71,7 +72,7 @@
 void HttpServer::State::onAccepted(tcp::socket socket)
 {
     if (sessions.size() < limits.connections) {
-        auto session = std::make_shared<HttpSession>(std::move(socket), limits, handler);
+        auto session = std::make_shared<HttpSession>(std::move(socket), limits, handler, onRefusal);
         sessions.insert(session);
         asio::co_spawn(executor, runSession(std::move(session)), asio::detached);
         return;
@@ -81,7 +82,7 @@
         auto refusalLimits = limits;
         refusalLimits.read = RefusalTime;
         refusalLimits.write = RefusalTime;
-        auto session = std::make_shared<HttpSession>(std::move(socket), refusalLimits, handler);
+        auto session = std::make_shared<HttpSession>(std::move(socket), refusalLimits, handler, onRefusal);
         asio::co_spawn(executor, refuseSession(std::move(session)), asio::detached);
     }
 }
@@ -126,6 +127,11 @@
     stop();
 }
 
+void HttpServer::observeRefusals(std::function<void(ErrorKind)> observer)
+{
+    m_state->onRefusal = std::move(observer);
+}
+
 Address HttpServer::listen(const Address &address)
 {
     const auto endpoint = parseEndpoint(address.value());
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -56,6 +56,8 @@
     /// Stops. Sessions with a request in flight keep the handler until they end.
     ~HttpServer();
 
+    /// Told of each request that the server refused by itself. To be set before listen().
+    void observeRefusals(std::function<void(ErrorKind)> observer);
     /// Binds "ip:port"; port 0 takes a free one. Returns the bound address; throws boost::system::system_error.
     Address listen(const Address &address);
     /// Closes the listening socket and idle connections; requests in flight end normally.
--- a/src/net/httpsession.cpp
+++ b/src/net/httpsession.cpp
@@ -105,8 +105,10 @@
     Parser &m_parser;
 };
 
-HttpSession::HttpSession(asio::ip::tcp::socket socket, const ServerLimits &limits, HttpServer::Handler handler)
-    : m_stream(std::move(socket)), m_buffer(WholeBodyLimit), m_limits(limits), m_handler(std::move(handler))
+HttpSession::HttpSession(asio::ip::tcp::socket socket, const ServerLimits &limits, HttpServer::Handler handler,
+                         std::function<void(ErrorKind)> onRefusal)
+    : m_stream(std::move(socket)), m_buffer(WholeBodyLimit), m_limits(limits), m_handler(std::move(handler)),
+      m_onRefusal(std::move(onRefusal))
 {
     ErrorCode ignored;
     m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -116,7 +118,11 @@
 asio::awaitable<void> HttpSession::run()
 {
     const auto self = shared_from_this();
-    while (co_await waitForRequest()) {
+    while (true) {
+        const bool arrived = co_await waitForRequest();
+        if (!arrived) {
+            break;
+        }
         m_idle = false;
         Parser parser;
         HttpRequest request;
@@ -129,7 +135,8 @@
             co_await refuseWith(kindOf(error), parser);
             co_return;
         }
-        if (!co_await handleRequest(parser, std::move(request))) {
+        const bool goOn = co_await handleRequest(parser, std::move(request));
+        if (!goOn) {
             break;
         }
         m_idle = true;
@@ -281,6 +288,9 @@
 asio::awaitable<void> HttpSession::refuseWith(ErrorKind kind, const Parser &parser)
 {
     const bool hasTicket = parser.is_header_done() && parser.get().count("Geraniumsail-Ticket") > 0;
+    if (m_onRefusal) {
+        m_onRefusal(kind);
+    }
     const bool wellFormed = kind == ErrorKind::ConnectionLimit || kind == ErrorKind::SlowSender;
     co_await respond(errorResponse(hasTicket && wellFormed ? unprovenKind(kind) : kind), false, false);
     co_await close(true);
--- a/src/net/httpsession.h
+++ b/src/net/httpsession.h
@@ -12,7 +12,8 @@
 class HttpSession : public std::enable_shared_from_this<HttpSession>
 {
 public:
-    HttpSession(boost::asio::ip::tcp::socket socket, const ServerLimits &limits, HttpServer::Handler handler);
+    HttpSession(boost::asio::ip::tcp::socket socket, const ServerLimits &limits, HttpServer::Handler handler,
+                std::function<void(ErrorKind)> onRefusal);
 
     /// Handles requests until the connection ends.
     boost::asio::awaitable<void> run();
@@ -39,6 +40,7 @@
     Buffer m_buffer;
     ServerLimits m_limits;
     HttpServer::Handler m_handler;
+    std::function<void(ErrorKind)> m_onRefusal; ///< May be empty.
     boost::asio::ip::address m_remote;
     RequestScope *m_scope = nullptr; ///< Of the request in flight.
     boost::asio::cancellation_signal m_watch;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -85,6 +85,14 @@
 
 void Node::bind()
 {
+    const auto count = [this](ListenerName name) {
+        return [this, name](ErrorKind kind) {
+            m_metrics.countAnswer(name, kind);
+        };
+    };
+    m_callerServer.observeRefusals(count(ListenerName::Caller));
+    m_localServer.observeRefusals(count(ListenerName::Local));
+    m_peerServer.observeRefusals(count(ListenerName::Peer));
     auto &listen = m_settings.listen;
     listen.caller = m_callerServer.listen(listen.caller);
     listen.local = m_localServer.listen(listen.local);
--- a/src/node/policytask.cpp
+++ b/src/node/policytask.cpp
@@ -20,6 +20,18 @@
 
 } // namespace
 
+template <typename T>
+std::shared_ptr<PolicyTask::Reply<T>> PolicyTask::makeReply() const
+{
+    return std::make_shared<Reply<T>>(m_executor, 1);
+}
+
+template <typename Channel>
+auto PolicyTask::answerTo(const std::shared_ptr<Channel> &reply)
+{
+    return [reply](auto value) { reply->try_send(boost::system::error_code(), std::move(value)); };
+}
+
 PolicyTask::PolicyTask(asio::any_io_executor executor, NodeIdentity self, const PolicySwitches &switches,
                        std::uint64_t seed, Metrics &metrics)
     : m_executor(executor), m_inbox(executor, InboxSize), m_timer(executor), m_self(std::move(self)), m_random(seed),
@@ -82,53 +94,46 @@
     asio::co_spawn(m_executor, later(this, std::move(message)), asio::detached);
 }
 
-template <typename T, typename MakeMessage>
-asio::awaitable<T> PolicyTask::ask(MakeMessage makeMessage)
-{
-    using Reply = asio::experimental::channel<void(boost::system::error_code, T)>;
-    const auto reply = std::make_shared<Reply>(m_executor, 1);
-    post(makeMessage(Answer<T>([reply](T value) { reply->try_send(boost::system::error_code(), std::move(value)); })));
-    co_return co_await reply->async_receive(asio::use_awaitable);
-}
-
 asio::awaitable<CallStep> PolicyTask::beginCall(CallInput input)
 {
-    co_return co_await ask<CallStep>([&](Answer<CallStep> answer) {
-        return CallBegins{std::move(input), std::move(answer)};
-    });
+    const auto reply = makeReply<CallStep>();
+    post(CallBegins{std::move(input), answerTo(reply)});
+    co_return co_await reply->async_receive(asio::use_awaitable);
 }
 
 asio::awaitable<CallStep> PolicyTask::reportCall(std::uint64_t call, CallEvent event)
 {
-    co_return co_await ask<CallStep>([&](Answer<CallStep> answer) {
-        return CallReport{call, std::move(event), std::move(answer)};
-    });
+    const auto reply = makeReply<CallStep>();
+    post(CallReport{call, std::move(event), answerTo(reply)});
+    co_return co_await reply->async_receive(asio::use_awaitable);
 }
 
 asio::awaitable<AttemptDecision> PolicyTask::offerAttempt(CallContext context, ServiceName service)
 {
-    co_return co_await ask<AttemptDecision>([&](Answer<AttemptDecision> answer) {
-        return AttemptOffered{std::move(context), std::move(service), std::move(answer)};
-    });
+    const auto reply = makeReply<AttemptDecision>();
+    post(AttemptOffered{std::move(context), std::move(service), answerTo(reply)});
+    co_return co_await reply->async_receive(asio::use_awaitable);
 }
 
 asio::awaitable<TargetReport> PolicyTask::endAttempt(AttemptId id, AttemptEnd end)
 {
-    co_return co_await ask<TargetReport>([&](Answer<TargetReport> answer) {
-        return AttemptEnded{std::move(id), std::move(end), std::move(answer)};
-    });
+    const auto reply = makeReply<TargetReport>();
+    post(AttemptEnded{std::move(id), std::move(end), answerTo(reply)});
+    co_return co_await reply->async_receive(asio::use_awaitable);
 }
 
 asio::awaitable<VoidVerdict> PolicyTask::voidAttempt(CallContext context)
 {
-    co_return co_await ask<VoidVerdict>([&](Answer<VoidVerdict> answer) {
-        return VoidAsked{std::move(context), std::move(answer)};
-    });
+    const auto reply = makeReply<VoidVerdict>();
+    post(VoidAsked{std::move(context), answerTo(reply)});
+    co_return co_await reply->async_receive(asio::use_awaitable);
 }
 
 asio::awaitable<PolicyStatus> PolicyTask::status()
 {
-    co_return co_await ask<PolicyStatus>([](Answer<PolicyStatus> answer) { return StatusAsked{std::move(answer)}; });
+    const auto reply = makeReply<PolicyStatus>();
+    post(StatusAsked{answerTo(reply)});
+    co_return co_await reply->async_receive(asio::use_awaitable);
 }
 
 void PolicyTask::cancelAttempt(AttemptId id)
--- a/src/node/policytask.h
+++ b/src/node/policytask.h
@@ -119,11 +119,16 @@
                                  PolicyRemoved, LinksChanged, OwnTarget, DrainBegins>;
     using Inbox = boost::asio::experimental::channel<void(boost::system::error_code, Message)>;
 
+    template <typename T>
+    using Reply = boost::asio::experimental::channel<void(boost::system::error_code, T)>;
+
     boost::asio::awaitable<void> handleMessages();
     boost::asio::awaitable<void> tickLoop();
     void post(Message message);
-    template <typename T, typename MakeMessage>
-    boost::asio::awaitable<T> ask(MakeMessage makeMessage);
+    template <typename T>
+    std::shared_ptr<Reply<T>> makeReply() const;
+    template <typename Channel>
+    static auto answerTo(const std::shared_ptr<Channel> &reply);
 
     void on(CallBegins &message, MonotonicTime now);
     void on(CallReport &message, MonotonicTime now);
--- a/src/node/targethandler.cpp
+++ b/src/node/targethandler.cpp
@@ -140,6 +140,9 @@
 asio::awaitable<HttpResponse> TargetHandler::run(CallContext context, ServiceName service, HttpRequest request,
                                                  Cancellation &cancellation)
 {
+    if (cancellation.isCancelled()) {
+        co_return errorResponse(ErrorKind::CancelledBeforeStart);
+    }
     AttemptDecision decision;
     {
         const auto registration = cancellation.onCancel([this, id = context.attempt] { m_policy.cancelAttempt(id); });
--- a/tests/net/loop.h
+++ b/tests/net/loop.h
@@ -9,6 +9,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
