--- a/src/node/controltask.cpp
+++ b/src/node/controltask.cpp
@@ -80,6 +80,13 @@
     return record;
 }
 
+/// True for a JSON-RPC error, which the dispatch makes for malformed bodies and unknown methods, too. The library writes
+/// its fields in alphabetical order, so that "error" is the first of an error response.
+bool isErrorAnswer(std::string_view answer)
+{
+    return answer.starts_with(R"({"error":)");
+}
+
 /// The whole body, or nothing if it is broken or too large.
 asio::awaitable<std::optional<std::string>> wholeBody(std::string first, BodyReader *rest)
 {
@@ -283,6 +290,9 @@
     if (!answered) {
         answered = m_rpc.handle(request.message.body());
     }
+    if (isErrorAnswer(*answered)) {
+        ++m_counters.requestsRefused;
+    }
     auto response = makeResponse(HttpOk, "application/json", std::move(*answered));
     m_counters.bytesSent += wireBytes(response.message);
     co_return response;
@@ -309,7 +319,6 @@
         result = co_await m_methods.at(name)(std::move(params));
     } catch (const RpcError &error) {
         failure = error;
-        ++m_counters.requestsRefused;
     }
     // Nothing waits between here and the end of the dispatch.
     m_methodResult = std::move(result);
@@ -332,21 +341,16 @@
 
 std::string ControlTask::answer(std::string_view method, const std::string &params)
 {
-    try {
-        const auto request = decodeRequest(method, params);
-        auto handled = m_core->onRequest(request, monotonicNow(), wallNow(), m_random);
-        send(std::move(handled.out));
-        if (!handled.reply) {
-            throw RpcError(RpcInvalidParams, "the message is for another node");
-        }
-        if (method == "pushConfig") {
-            publishChanges();
-        }
-        return encodeReply(*handled.reply);
-    } catch (const RpcError &) {
-        ++m_counters.requestsRefused;
-        throw;
+    const auto request = decodeRequest(method, params);
+    auto handled = m_core->onRequest(request, monotonicNow(), wallNow(), m_random);
+    send(std::move(handled.out));
+    if (!handled.reply) {
+        throw RpcError(RpcInvalidParams, "the message is for another node");
+    }
+    if (method == "pushConfig") {
+        publishChanges();
     }
+    return encodeReply(*handled.reply);
 }
 
 void ControlTask::setUpstream(MemberState state, const ServiceName &service, Slots slots, Duration coldStart)
