--- a/tests/core/fakecluster.h
+++ b/tests/core/fakecluster.h
@@ -45,6 +45,7 @@
         self.control = Address(name);
         self.slots = Slots(50);
         std::vector<Address> addresses;
+        addresses.reserve(seeds.size());
         for (const auto &seed : seeds) {
             addresses.emplace_back(seed);
         }
@@ -129,9 +130,9 @@
             for (const auto &[other, unused] : m_processes) {
                 const MemberRecord *record = table.find(NodeName(other));
                 if (record == nullptr || record->state != MemberState::Alive) {
-                    return name + " does not hold " + other + " alive"
-                        + (record == nullptr ? ", it is unknown"
-                                             : ", state " + std::to_string(static_cast<int>(record->state)));
+                    std::string text = name;
+                    text.append(" does not hold ").append(other).append(" alive");
+                    return text.append(record == nullptr ? ", it is unknown" : ", but suspect or dead");
                 }
             }
             if (table.liveCount() != m_processes.size()) {
