Return the whole loan of retries with an attempt that did not start

Cause: TargetReport::unused was set only when a running attempt ended. A refusal before the start (draining, overloaded and others), a join and a stored answer reported 0 unused retries, so the calling node counted the lent allowance as spent and made no retry. Ruled out: the calling side (RetryLedger::giveBack gives back what the answer states) and the header codec. Change: TargetPolicy::report starts from the loan of the arrival; only the end of a running attempt replaces it with the rest of its ledger. Conclusion: a refusal is again free for the ledger; each duplicate returns its own loan, which it cannot have spent.

--- a/src/node/targetpolicy.cpp
+++ b/src/node/targetpolicy.cpp
@@ -33,7 +33,7 @@
         }
     }
     if (arrival.kind != Arrival::Kind::Fresh) {
-        answer(decisionFor(arrival, context.kind));
+        answer(decisionFor(arrival, context));
         return;
     }
     Attempt attempt;
@@ -90,7 +90,7 @@
     auto &attempt = node.mapped();
     m_registry.finish(id, end.outcome, end.kind, end.answer, now);
     apply(m_admission->finish(id, end.serviceTime, now), now);
-    auto result = report(attempt.context.kind);
+    auto result = report(attempt.context);
     result.unused = attempt.running->ledger->close();
     for (const auto &joiner : attempt.joiners) {
         answerJoiner(joiner, now);
@@ -200,10 +200,10 @@
     const auto &attempt = node.mapped();
     const auto joinerKind = attempt.context.once ? ErrorKind::TicketVoided : kind;
     for (const auto &joiner : attempt.joiners) {
-        joiner.answer(refusal(joinerKind, report(attempt.context.kind)));
+        joiner.answer(refusal(joinerKind, report(joiner.context)));
     }
     if (attempt.answer) {
-        attempt.answer(refusal(kind, report(attempt.context.kind)));
+        attempt.answer(refusal(kind, report(attempt.context)));
     }
 }
 
@@ -244,7 +244,7 @@
     attempt.running = ParentCall{context, std::make_shared<RetryLedger>(context.allowance, context.hop + 1)};
     const auto answer = std::exchange(attempt.answer, nullptr);
     const auto connections = std::min(m_upstream->connections, m_book.policy(m_upstream->service).connections);
-    answer(AttemptDecision{RunAttempt{m_upstream->address, connections, id}, report(context.kind)});
+    answer(AttemptDecision{RunAttempt{m_upstream->address, connections, id}, report(context)});
     return {};
 }
 
@@ -254,23 +254,25 @@
     if (arrival.kind == Arrival::Kind::Fresh) {
         m_registry.refuse(joiner.context.attempt, now);
     }
-    joiner.answer(decisionFor(arrival, joiner.context.kind));
+    joiner.answer(decisionFor(arrival, joiner.context));
 }
 
-AttemptDecision TargetPolicy::decisionFor(const Arrival &arrival, const KindName &kind) const
+AttemptDecision TargetPolicy::decisionFor(const Arrival &arrival, const CallContext &context) const
 {
     if (arrival.kind == Arrival::Kind::Stored) {
-        return AttemptDecision{RepeatAnswer{arrival.answer}, report(kind)};
+        return AttemptDecision{RepeatAnswer{arrival.answer}, report(context)};
     }
-    return refusal(arrival.kind == Arrival::Kind::Refused ? arrival.refusal : ErrorKind::Internal, report(kind));
+    return refusal(arrival.kind == Arrival::Kind::Refused ? arrival.refusal : ErrorKind::Internal, report(context));
 }
 
-TargetReport TargetPolicy::report(const KindName &kind) const
+TargetReport TargetPolicy::report(const CallContext &context) const
 {
     TargetReport result;
+    // Only an attempt that starts opens a ledger, so an arrival that does not start returns its whole loan.
+    result.unused = context.allowance;
     if (m_admission) {
         result.load = m_admission->load();
-        result.threshold = m_admission->threshold(kind);
+        result.threshold = m_admission->threshold(context.kind);
     }
     return result;
 }
--- a/src/node/targetpolicy.h
+++ b/src/node/targetpolicy.h
@@ -69,8 +69,8 @@
     void apply(AdmissionEvents events, MonotonicTime now);
     AdmissionEvents start(const AttemptId &id, MonotonicTime now);
     void answerJoiner(const Joiner &joiner, MonotonicTime now);
-    AttemptDecision decisionFor(const Arrival &arrival, const KindName &kind) const;
-    TargetReport report(const KindName &kind) const;
+    AttemptDecision decisionFor(const Arrival &arrival, const CallContext &context) const;
+    TargetReport report(const CallContext &context) const;
     void setState(UpstreamState state, MonotonicTime now);
 
     PolicySwitches m_switches;
