--- a/bench/membershipscale.cpp
+++ b/bench/membershipscale.cpp
@@ -82,7 +82,7 @@
     neighbour.onReply(transfer, all, now, wall, random);
 
     // One exchange a second for the simulated time; every answer comes from the neighbour, whatever name was asked.
-    constexpr int Rounds = 600;
+    constexpr int rounds = 600;
     double tickSeconds = 0;
     double codecSeconds = 0;
     double exchangeSeconds = 0;
@@ -94,7 +94,7 @@
     const double eventsPerSecond = 5000.0 / SecondsPerDay * members / 4900;
     double due = 0;
     for (const bool churn : {false, true}) {
-        for (int round = 0; round < 5 * Rounds; ++round) {
+        for (int round = 0; round < 5 * rounds; ++round) {
             now += TickPeriod;
             wall += TickPeriod;
             due += churn ? eventsPerSecond * 0.2 : 0;
@@ -133,10 +133,10 @@
             }
         }
     }
-    const int ticks = 2 * 5 * Rounds;
+    const int ticks = 2 * 5 * rounds;
     const double perExchange = bytes / exchanges;
     const double perChurnExchange = churnBytes / churnExchanges;
-    const double perSecond = exchanges / static_cast<double>(Rounds);
+    const double perSecond = exchanges / static_cast<double>(rounds);
     // Each node starts its exchanges and answers as many.
     std::cout << "{\"members\": " << members << ", \"tableWireBytes\": " << tableBytes
               << ", \"recordWireBytes\": " << tableBytes / members
--- a/src/node/controltask.cpp
+++ b/src/node/controltask.cpp
@@ -80,8 +80,8 @@
     return record;
 }
 
-/// True for a JSON-RPC error, which the dispatch makes for malformed bodies and unknown methods, too. The library writes
-/// its fields in alphabetical order, so that "error" is the first of an error response.
+/// True for a JSON-RPC error, which the dispatch makes for malformed bodies and unknown methods, too. The library
+/// writes its fields in alphabetical order, so that "error" is the first of an error response.
 bool isErrorAnswer(std::string_view answer)
 {
     return answer.starts_with(R"({"error":)");
@@ -105,7 +105,7 @@
 
 } // namespace
 
-ControlTask::ControlTask(asio::any_io_executor executor, NodeSettings settings, Incarnation incarnation,
+ControlTask::ControlTask(const asio::any_io_executor &executor, NodeSettings settings, Incarnation incarnation,
                          std::uint64_t seed, Sinks sinks)
     : m_executor(executor), m_settings(std::move(settings)), m_sinks(std::move(sinks)), m_random(seed),
       m_storeSync(manifestCodec()), m_client(executor, controlClientLimits()),
--- a/src/node/controltask.h
+++ b/src/node/controltask.h
@@ -55,7 +55,7 @@
     /// Answers a method of another task; throws RpcError.
     using Method = std::function<boost::asio::awaitable<std::string>(std::string params)>;
 
-    ControlTask(boost::asio::any_io_executor executor, NodeSettings settings, Incarnation incarnation,
+    ControlTask(const boost::asio::any_io_executor &executor, NodeSettings settings, Incarnation incarnation,
                 std::uint64_t seed, Sinks sinks);
     ControlTask(const ControlTask &) = delete;
     ControlTask &operator=(const ControlTask &) = delete;
--- a/tests/core/configviewtest.cpp
+++ b/tests/core/configviewtest.cpp
@@ -70,6 +70,7 @@
     {
         CPPUNIT_ASSERT(rc::check("order does not matter", [](const std::vector<std::pair<int, int>> &versions) {
             std::vector<ConfigDocument> documents;
+            documents.reserve(versions.size());
             for (const auto &[name, version] : versions) {
                 documents.push_back(document("d" + std::to_string(name % 5), version & 7, std::to_string(name)));
             }
--- a/tests/core/fakecluster.h
+++ b/tests/core/fakecluster.h
@@ -287,7 +287,7 @@
             helper.timeout = ProbeTimeout;
             helper.request = core.probeFor(probe->target, wall());
             exchange(to, helper,
-                     [answer](std::optional<ControlReply> reply) { answer(ProbeReply{reply.has_value()}); });
+                     [answer](const std::optional<ControlReply> &reply) { answer(ProbeReply{reply.has_value()}); });
             return;
         }
         auto handled = core.onRequest(content, m_now, wall(), m_random);
