Reduce the noise of the thresholds

Cause: a chain must pass the threshold of every hop, so the lowest of 29 thresholds decides. Service time estimates, the backlog term and the correction each moved a threshold by 2 % or more within a second. Change: drain time of 50 target delays, demand weight 0.05 (0.3 after a change of more than 25 %), correction step 0.005, service time weight 0.05 (0.3 after a change of more than 50 %).

--- a/src/core/kindload.cpp
+++ b/src/core/kindload.cpp
@@ -11,7 +11,12 @@
 constexpr double SampleClip = 5.0;
 /// Largest factor between a window's mean and the present estimate.
 constexpr double WindowClip = 2.0;
-constexpr double WindowWeight = 0.3;
+/// Weight of a window's mean. With 0.3 the noise of the means moved the thresholds by 2 %.
+constexpr double WindowWeight = 0.05;
+/// Weight if the mean of at least ChangedSamples samples is off by more than ServiceTimeChange.
+constexpr double ChangedWindowWeight = 0.3;
+constexpr double ServiceTimeChange = 0.5;
+constexpr int ChangedSamples = 10;
 /// Credit beyond two service times and this much of the quota is forgotten, so an earlier period does not weigh on
 /// later.
 constexpr double CreditSeconds = 0.1;
@@ -51,7 +56,8 @@
     const double mean = m_sum / m_count;
     if (m_measured) {
         const double clipped = std::clamp(mean, m_seconds / WindowClip, m_seconds * WindowClip);
-        m_seconds += WindowWeight * (clipped - m_seconds);
+        const bool changed = m_count >= ChangedSamples && std::abs(mean - m_seconds) > ServiceTimeChange * m_seconds;
+        m_seconds += (changed ? ChangedWindowWeight : WindowWeight) * (clipped - m_seconds);
     } else {
         m_seconds = mean;
         m_measured = true;
--- a/src/core/thresholdcontroller.cpp
+++ b/src/core/thresholdcontroller.cpp
@@ -10,12 +10,17 @@
 
 constexpr std::size_t BucketsPerRank = 64;
 constexpr std::size_t ScoresPerBucket = 65536 / BucketsPerRank;
-/// Weight of the newest window in the smoothed demand.
-constexpr double DemandWeight = 0.2;
-/// A backlog over the target is removed within this many target delays.
-constexpr double DrainTargets = 5.0;
+/// Weight of the newest window in the smoothed demand. A chain of calls must pass the threshold at every hop, so noise
+/// of 2 % at each hop would cost a chain of 29 hops about 4 %.
+constexpr double DemandWeight = 0.05;
+/// Weight of a window whose demand differs from the smoothed one by more than DemandChange, as at the start of a flood.
+constexpr double ChangedDemandWeight = 0.3;
+constexpr double DemandChange = 0.25;
+/// A backlog over the target is removed within this many target delays. With 5 the random changes of the backlog moved
+/// the threshold by up to 20 %.
+constexpr double DrainTargets = 50.0;
 /// Largest step of the correction in one window.
-constexpr double CorrectionStep = 0.02;
+constexpr double CorrectionStep = 0.005;
 constexpr double MinCorrection = 0.2;
 constexpr double MaxCorrection = 5.0;
 
@@ -72,8 +77,11 @@
 void ThresholdController::smoothDemand(Duration length)
 {
     const double perSecond = 1.0 / std::max(seconds(length), 1e-6);
+    const double arrived = std::accumulate(m_arrived.begin(), m_arrived.end(), 0.0) * perSecond;
+    const bool changed = std::abs(arrived - demand()) > DemandChange * demand();
+    const double weight = changed ? ChangedDemandWeight : DemandWeight;
     for (std::size_t i = 0; i < m_demand.size(); ++i) {
-        m_demand[i] += DemandWeight * (m_arrived[i] * perSecond - m_demand[i]);
+        m_demand[i] += weight * (m_arrived[i] * perSecond - m_demand[i]);
         m_arrived[i] = 0.0;
     }
 }
--- a/src/core/thresholdcontroller.h
+++ b/src/core/thresholdcontroller.h
@@ -9,8 +9,8 @@
 // that is too long and reopens when it is short. The correction slowly removes a lasting error of the expected service
 // times. Backlog is the work that waits, in slot-seconds, averaged over the window, so a single burst does not count.
 //
-// Limits: demand is smoothed over about 5 windows, so a sudden flood fills the queue for some windows before the
-// threshold is right; the bound of the queue covers this time.
+// Limits: demand is smoothed over 20 windows, or 3 when it changes much, so a sudden flood fills the queue for some
+// windows before the threshold is right; the bound of the queue covers this time.
 #ifndef GERANIUMSAIL_CORE_THRESHOLDCONTROLLER_H
 #define GERANIUMSAIL_CORE_THRESHOLDCONTROLLER_H
 
