Reopen the threshold quickly when refused work leaves slots idle

Cause: with early refusal at the callers, goodput took 6 s to come back after a 10 s stall. Callers that send again make the demand above the threshold look 20 times as large as it is, so the threshold rose in tiny steps; without early refusal, free slots start work past the threshold and hide this. Change: a correction step of 0.1 while hardly any work waits, the same step back to 1 afterwards, and a bound of 20. bench-overload measures recovery with early refusal; tests of the threshold and of the service time estimate.

--- a/bench/overloadcases.cpp
+++ b/bench/overloadcases.cpp
@@ -143,13 +143,14 @@
 }
 
 /// Time after a 10 s stall until goodput over 1 s is back at 0.95 and stays so over the next 5 s.
-Figures recovery(const PolicySwitches &switches, std::uint64_t seed)
+Figures recovery(bool earlyRefusal, const PolicySwitches &switches, std::uint64_t seed)
 {
     constexpr std::int64_t Never = 300; // Windows of 100 ms.
     const std::vector<Work> works{
         {"booking", 0, 0.3, 0.01, 0.3}, {"lookup", 5, 0.2, 0.01, 0.3}, {"bulk", 9, 0.1, 0.01, 0.3}};
     Simulation simulation(seed);
     const Bed bed(simulation, works, switches, seconds(1), 20, milliseconds(50));
+    bed.service->earlyRefusal = earlyRefusal && switches.admission;
     bed.service->stallFrom = simulation.now + WarmUp + seconds(4);
     bed.service->stallTo = bed.service->stallFrom + seconds(10);
     simulation.runUntil(bed.service->stallTo + seconds(37));
@@ -222,7 +223,8 @@
             {"flood of most urgent", std::bind(flood, mixedWork(), 0, _1, _2), plainQueue},
             {"flood of downloads, least urgent", std::bind(flood, downloadWork(9), 3, _1, _2), plainQueue},
             {"flood of downloads, more urgent than search", std::bind(flood, downloadWork(5), 3, _1, _2), plainQueue},
-            {"recovery after a stall", recovery, plainQueue},
+            {"recovery after a stall", std::bind(recovery, false, _1, _2), plainQueue},
+            {"recovery after a stall, early refusal", std::bind(recovery, true, _1, _2), plainQueue},
             {"chain", chain, scorePerHop}};
 }
 
--- a/src/core/thresholdcontroller.cpp
+++ b/src/core/thresholdcontroller.cpp
@@ -21,8 +21,14 @@
 constexpr double DrainTargets = 50.0;
 /// Largest step of the correction in one window.
 constexpr double CorrectionStep = 0.005;
+/// Step up while work is refused although hardly any waits, and step back to 1 when that is over. Callers that send
+/// again after each refusal make the demand above the threshold look up to 20 times as large as it is, so small steps
+/// would keep slots idle for seconds after a stall.
+constexpr double FastCorrectionStep = 0.1;
+/// Part of the target backlog below which hardly any work waits.
+constexpr double EmptyBacklog = 0.1;
 constexpr double MinCorrection = 0.2;
-constexpr double MaxCorrection = 5.0;
+constexpr double MaxCorrection = 20.0;
 
 /// Slots; keeps the time to drain finite while other work uses all capacity.
 constexpr double MinCapacity = 0.01;
@@ -66,12 +72,14 @@
 
 void ThresholdController::updateCorrection(double targetBacklog, double backlog)
 {
-    if (m_threshold.last && targetBacklog > 0.0) {
-        const double error = std::clamp((targetBacklog - backlog) / targetBacklog, -1.0, 1.0);
-        m_correction = std::clamp(m_correction * (1.0 + CorrectionStep * error), MinCorrection, MaxCorrection);
-    } else {
-        m_correction += (1.0 - m_correction) * CorrectionStep;
+    if (!m_threshold.last) {
+        m_correction += (1.0 - m_correction) * FastCorrectionStep;
+        return;
     }
+    const double error = std::clamp((targetBacklog - backlog) / targetBacklog, -1.0, 1.0);
+    const bool fast = backlog < EmptyBacklog * targetBacklog || (error <= -1.0 && m_correction > 1.0);
+    const double step = fast ? FastCorrectionStep : CorrectionStep;
+    m_correction = std::clamp(m_correction * (1.0 + step * error), MinCorrection, MaxCorrection);
 }
 
 void ThresholdController::smoothDemand(Duration length)
--- /dev/null
+++ b/tests/core/thresholdtest.cpp
@@ -0,0 +1,143 @@
+// Tests of the threshold and of the service time estimate that it relies on.
+#include "core/admission.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Geraniumsail {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Slots worth of demand, evenly over the scores of one rank, for some windows. Returns the part that passes.
+double offer(ThresholdController &controller, double demand, int windows, double backlog, int rank = 5)
+{
+    constexpr int Arrivals = 256;
+    int passed = 0;
+    for (int window = 0; window < windows; ++window) {
+        passed = 0;
+        for (int i = 0; i < Arrivals; ++i) {
+            const Priority priority{Rank(static_cast<std::uint8_t>(rank)),
+                                    AdmissionScore(static_cast<std::uint16_t>(i * 256))};
+            controller.arrived(priority, demand * 0.1 / Arrivals);
+            passed += controller.threshold().passes(priority) ? 1 : 0;
+        }
+        controller.closeWindow(ThresholdWindowReport{milliseconds(100), 50.0, backlog, 0.01, milliseconds(20)});
+    }
+    return static_cast<double>(passed) / Arrivals;
+}
+
+class ThresholdTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ThresholdTest);
+    CPPUNIT_TEST(acceptedDemandMeetsTheCapacity);
+    CPPUNIT_TEST(reopensAfterAFlood);
+    CPPUNIT_TEST(lessUrgentRanksAreShutFirst);
+    CPPUNIT_TEST(emptyQueueCorrectsAnOverestimatedServiceTime);
+    CPPUNIT_TEST(oneRoundOfStalledRequestsDoesNotSpoilTheEstimate);
+    CPPUNIT_TEST(shareOpensTheThresholdOfItsKind);
+    CPPUNIT_TEST(childCallsHaveASmallAdvantage);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a threshold that lets the queue grow in a flood or leaves slots unused.
+    void acceptedDemandMeetsTheCapacity()
+    {
+        ThresholdController controller(Rank(0), 10);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, offer(controller, 40.0, 30, 0.0), 1e-9);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.25, offer(controller, 200.0, 30, 1.0), 0.03);
+    }
+
+    // Guards against a threshold that outlasts its cause: goodput must be back within 2 s.
+    void reopensAfterAFlood()
+    {
+        ThresholdController controller(Rank(0), 10);
+        offer(controller, 200.0, 50, 1.5);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, offer(controller, 45.0, 20, 0.0), 1e-9);
+    }
+
+    // Guards against a flood of bulk work that refuses bookings.
+    void lessUrgentRanksAreShutFirst()
+    {
+        ThresholdController controller(Rank(0), 10);
+        for (int i = 0; i < 30; ++i) {
+            offer(controller, 30.0, 1, 1.0, 0);
+            offer(controller, 200.0, 1, 1.0, 9);
+        }
+        CPPUNIT_ASSERT(controller.threshold().last.has_value());
+        CPPUNIT_ASSERT(controller.threshold().last->rank == Rank(9));
+    }
+
+    // Guards against lasting refusals beside free slots when the estimate is wrong.
+    void emptyQueueCorrectsAnOverestimatedServiceTime()
+    {
+        ThresholdController controller(Rank(0), 10);
+        const double before = offer(controller, 100.0, 10, 0.0);
+        CPPUNIT_ASSERT(before < 0.8);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, offer(controller, 100.0, 50, 0.0), 1e-9);
+    }
+
+    // Guards against refusing nearly everything after a stall, because its requests all took as long as the stall.
+    void oneRoundOfStalledRequestsDoesNotSpoilTheEstimate()
+    {
+        ServiceTimeEstimate estimate;
+        const auto addRound = [&estimate](Duration serviceTime) {
+            for (int i = 0; i < 50; ++i) {
+                estimate.add(serviceTime);
+            }
+            estimate.closeWindow();
+        };
+        addRound(milliseconds(10));
+        addRound(std::chrono::seconds(10));
+        CPPUNIT_ASSERT(estimate.seconds() < 0.015);
+        for (int i = 0; i < 30; ++i) {
+            addRound(milliseconds(100));
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(0.1, estimate.seconds(), 0.04);
+    }
+
+    // Guards against calling nodes that refuse the in-share work of a less urgent kind.
+    void shareOpensTheThresholdOfItsKind()
+    {
+        ServicePolicy policy;
+        policy.slots = Slots(10);
+        KindPolicy urgent;
+        urgent.name = KindName("urgent");
+        urgent.rank = MostUrgentRank;
+        KindPolicy shared;
+        shared.name = KindName("shared");
+        shared.share = Share(0.3);
+        policy.kinds = {urgent, shared};
+        Admission admission(policy);
+        Random random(1);
+        MonotonicTime now(std::chrono::seconds(1));
+        for (int i = 0; i < 10000; ++i) {
+            now += Duration(200);
+            const auto score = static_cast<std::uint16_t>(random());
+            const AdmissionRequest request{urgent.name, Priority{MostUrgentRank, AdmissionScore(score)},
+                                           now + milliseconds(100), CallerName("c")};
+            admission.offer(AttemptId(std::to_string(i)), request, now, random);
+            if (i >= 100 && i % 5 == 0) {
+                admission.finish(AttemptId(std::to_string(i)), milliseconds(10), now);
+            }
+        }
+        const Priority last{LeastUrgentRank, AdmissionScore(65535)};
+        CPPUNIT_ASSERT(!admission.threshold(KindName("other")).passes(last));
+        CPPUNIT_ASSERT(admission.threshold(shared.name).passes(last));
+    }
+
+    // Guards against an advantage that wraps around at low scores or changes the rank.
+    void childCallsHaveASmallAdvantage()
+    {
+        const Priority root{Rank(3), AdmissionScore(5000)};
+        CPPUNIT_ASSERT(effectivePriority(root, 0) == root);
+        CPPUNIT_ASSERT((effectivePriority(root, 4) == Priority{Rank(3), AdmissionScore(2952)}));
+        CPPUNIT_ASSERT((effectivePriority({Rank(3), AdmissionScore(7)}, 1) == Priority{Rank(3), AdmissionScore(0)}));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ThresholdTest);
+
+} // namespace
+
+} // namespace Geraniumsail
