--- a/bench/overload.cpp
+++ b/bench/overload.cpp
@@ -28,10 +28,12 @@
 std::vector<Figures> measure(const Experiment &experiment, const PolicySwitches &switches)
 {
     std::vector<std::future<Figures>> pending;
+    pending.reserve(Seeds);
     for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
         pending.push_back(std::async(std::launch::async, experiment.run, switches, seed));
     }
     std::vector<Figures> runs;
+    runs.reserve(Seeds);
     for (auto &run : pending) {
         runs.push_back(run.get());
     }
