--- a/bench/latency.cpp
+++ b/bench/latency.cpp
@@ -30,9 +30,13 @@
   bench-latency --direct ADDRESS --entry ADDRESS --service NAME --kind NAME [--rate N] [--seconds N] [--workers N]
 
 Options:
-  --rate N     Calls per second of each way [default: 500].
-  --seconds N  Duration [default: 10].
-  --workers N  Calls at the same time at most, of each way [default: 8].
+  --direct ADDRESS  The upstream.
+  --entry ADDRESS   Caller listener of the entry node.
+  --service NAME    Service to call.
+  --kind NAME       Kind of the calls.
+  --rate N          Calls per second of each way [default: 500].
+  --seconds N       Duration [default: 10].
+  --workers N       Calls at the same time at most, of each way [default: 8].
 )";
 
 constexpr Duration CallTimeout = std::chrono::seconds(5);
