--- a/tests/node/nodes.h
+++ b/tests/node/nodes.h
@@ -125,9 +125,9 @@
 
     /// Makes the upstream known to its node and waits until it is accepted.
     void announce(TestNode &node, const Address &upstream, int slots = 10, const std::string &extra = "",
-                  int connections = 50)
+                  int connections = 50, const std::string &service = "berths")
     {
-        const std::string body = R"({"service":"berths","address":")" + upstream.value() + R"(","slots":)"
+        const std::string body = R"({"service":")" + service + R"(","address":")" + upstream.value() + R"(","slots":)"
             + std::to_string(slots) + R"(,"connections":)" + std::to_string(connections) + extra + "}";
         node.node().policy().setPolicy(berthsPolicy());
         m_loop.run([&]() -> boost::asio::awaitable<void> {
