Follow the linter in the HTTP and policy files

Cause: clang-tidy found ten places: names of local constants, widening products, a use after a move. Ruled out: a fault behind the use after a move in the channel; try_send constructs the message only if it takes it. Change: constants to namespace scope, the session passes its response by reference. Before: 10 findings.

--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -9,6 +9,21 @@
 
 namespace http = boost::beast::http;
 
+namespace {
+
+constexpr std::array HopFields{http::field::connection,
+                               http::field::keep_alive,
+                               http::field::proxy_authenticate,
+                               http::field::proxy_authorization,
+                               http::field::proxy_connection,
+                               http::field::te,
+                               http::field::trailer,
+                               http::field::transfer_encoding,
+                               http::field::upgrade,
+                               http::field::expect};
+
+} // namespace
+
 HttpResponse makeResponse(unsigned status, std::string_view contentType, std::string body)
 {
     HttpResponse response;
@@ -41,16 +56,6 @@
 
 void removeHopFields(http::fields &fields)
 {
-    constexpr std::array HopFields{http::field::connection,
-                                   http::field::keep_alive,
-                                   http::field::proxy_authenticate,
-                                   http::field::proxy_authorization,
-                                   http::field::proxy_connection,
-                                   http::field::te,
-                                   http::field::trailer,
-                                   http::field::transfer_encoding,
-                                   http::field::upgrade,
-                                   http::field::expect};
     std::vector<std::string> named;
     for (const auto token : http::token_list(fields[http::field::connection])) {
         named.emplace_back(token);
--- a/src/net/httpmessage.h
+++ b/src/net/httpmessage.h
@@ -20,9 +20,9 @@
 namespace Geraniumsail {
 
 /// Bodies up to this size are read whole before their first byte is forwarded.
-constexpr std::size_t WholeBodyLimit = 64 * 1024;
+constexpr std::size_t WholeBodyLimit = 64UL * 1024;
 /// Largest head of a request or an answer.
-constexpr std::uint32_t HeadLimit = 16 * 1024;
+constexpr std::uint32_t HeadLimit = 16U * 1024;
 
 /// How an exchange or the transfer of a body ended without a whole message.
 enum class TransferError {
--- a/src/net/httpsession.cpp
+++ b/src/net/httpsession.cpp
@@ -17,7 +17,9 @@
 
 /// Input that is read and dropped before a connection is closed, so that the reset that follows unread input does not
 /// destroy the answer on its way to the caller.
-constexpr std::size_t MaxDrainedBytes = 256 * 1024;
+constexpr std::size_t MaxDrainedBytes = 256UL * 1024;
+/// Most heads fit in the first read.
+constexpr std::size_t FirstRead = 4096;
 constexpr auto DrainTime = std::chrono::seconds(1);
 
 ErrorKind kindOf(const ErrorCode &error)
@@ -173,7 +175,6 @@
     if (m_buffer.size() > 0) {
         co_return true;
     }
-    constexpr std::size_t FirstRead = 4096;
     m_stream.expires_after(m_limits.idle);
     auto [error, count] = co_await m_stream.async_read_some(m_buffer.prepare(FirstRead), AsTuple);
     m_buffer.commit(count);
@@ -250,7 +251,7 @@
     bool goOn = false;
     if (!scope.cancellation.isCancelled()) {
         const bool mayContinue = keepAlive && response.message.keep_alive() && parser.is_done() && !m_stopping;
-        goOn = co_await respond(std::move(response), isHead, mayContinue);
+        goOn = co_await respond(response, isHead, mayContinue);
     }
     response.rest.reset();
     m_scope = nullptr;
@@ -262,7 +263,7 @@
 }
 
 /// False if the connection must be closed.
-asio::awaitable<bool> HttpSession::respond(HttpResponse response, bool isHead, bool keepAlive)
+asio::awaitable<bool> HttpSession::respond(HttpResponse &response, bool isHead, bool keepAlive)
 {
     response.message.version(11);
     response.message.keep_alive(keepAlive);
@@ -295,7 +296,8 @@
         m_onRefusal(kind);
     }
     const bool wellFormed = kind == ErrorKind::ConnectionLimit || kind == ErrorKind::SlowSender;
-    co_await respond(errorResponse(hasTicket && wellFormed ? unprovenKind(kind) : kind), false, false);
+    auto response = errorResponse(hasTicket && wellFormed ? unprovenKind(kind) : kind);
+    co_await respond(response, false, false);
     co_await close(true);
 }
 
--- a/src/net/httpsession.h
+++ b/src/net/httpsession.h
@@ -30,7 +30,7 @@
     boost::asio::awaitable<ErrorCode> readRequest(Parser &parser, HttpRequest &request);
     boost::asio::awaitable<ErrorCode> readHead(Parser &parser);
     boost::asio::awaitable<bool> handleRequest(Parser &parser, HttpRequest request);
-    boost::asio::awaitable<bool> respond(HttpResponse response, bool isHead, bool keepAlive);
+    boost::asio::awaitable<bool> respond(HttpResponse &response, bool isHead, bool keepAlive);
     boost::asio::awaitable<void> refuseWith(ErrorKind kind, const Parser &parser);
     boost::asio::awaitable<void> close(bool unreadInput);
     void watchConnection();
--- a/src/net/httpwire.h
+++ b/src/net/httpwire.h
@@ -35,18 +35,20 @@
 /// Looks at a socket without waiting and without consuming anything.
 SocketState peekSocket(boost::asio::ip::tcp::socket &socket);
 
+/// Growth of a body of unknown length while it is read.
+constexpr std::size_t BodyStep = 16UL * 1024;
+
 /// Reads body bytes until part holds limit bytes or the body ends.
 template <bool IsRequest>
 boost::asio::awaitable<ErrorCode>
 readBody(Stream &stream, Buffer &buffer, boost::beast::http::parser<IsRequest, boost::beast::http::buffer_body> &parser,
          std::string &part, std::size_t limit)
 {
-    constexpr std::size_t Step = 16 * 1024;
     while (!parser.is_done() && part.size() < limit) {
         const auto used = part.size();
-        const auto expected = parser.content_length_remaining().value_or(Step);
+        const auto expected = parser.content_length_remaining().value_or(BodyStep);
         const auto room = static_cast<std::size_t>(
-            std::min<std::uint64_t>({limit - used, Step, std::max<std::uint64_t>(expected, 1)}));
+            std::min<std::uint64_t>({limit - used, BodyStep, std::max<std::uint64_t>(expected, 1)}));
         part.resize(used + room);
         auto &body = parser.get().body();
         body.data = part.data() + used;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -52,6 +52,7 @@
     return limits;
 }
 
+constexpr std::array<const char *, 4> StateLabels{"up", "shedding", "draining", "gone"};
 constexpr std::size_t CallerConnections = 4096;
 constexpr std::size_t PeerConnections = 8192;
 constexpr std::size_t LocalConnections = 2048;
@@ -283,7 +284,6 @@
         {"load", {{"running", status.load.running}, {"queued", status.load.queued}, {"limit", status.load.limit}}}};
     json["control"] = Json::parse(m_control.statusText());
     if (status.upstream) {
-        constexpr std::array<const char *, 4> StateLabels{"up", "shedding", "draining", "gone"};
         json["upstream"] = {{"service", status.upstream->service.value()},
                             {"address", status.upstream->address.value()},
                             {"slots", status.upstream->slots.value()},
--- a/src/node/policytask.cpp
+++ b/src/node/policytask.cpp
@@ -29,10 +29,12 @@
 template <typename Channel>
 auto PolicyTask::answerTo(const std::shared_ptr<Channel> &reply)
 {
-    return [reply](auto value) { reply->try_send(boost::system::error_code(), std::move(value)); };
+    return [reply](auto value) {
+        reply->try_send(boost::system::error_code(), std::move(value));
+    };
 }
 
-PolicyTask::PolicyTask(asio::any_io_executor executor, NodeIdentity self, const PolicySwitches &switches,
+PolicyTask::PolicyTask(const asio::any_io_executor &executor, NodeIdentity self, const PolicySwitches &switches,
                        std::uint64_t seed, Metrics &metrics)
     : m_executor(executor), m_inbox(executor, InboxSize), m_timer(executor), m_self(std::move(self)), m_random(seed),
       m_metrics(metrics), m_target(m_self.incarnation, switches, m_book, m_random, monotonicNow()),
@@ -91,6 +93,7 @@
         co_await task->m_inbox.async_send(boost::system::error_code(), std::move(waiting),
                                           asio::as_tuple(asio::use_awaitable));
     };
+    // NOLINTNEXTLINE(bugprone-use-after-move)
     asio::co_spawn(m_executor, later(this, std::move(message)), asio::detached);
 }
 
--- a/src/node/policytask.h
+++ b/src/node/policytask.h
@@ -22,7 +22,7 @@
 class PolicyTask
 {
 public:
-    PolicyTask(boost::asio::any_io_executor executor, NodeIdentity self, const PolicySwitches &switches,
+    PolicyTask(const boost::asio::any_io_executor &executor, NodeIdentity self, const PolicySwitches &switches,
                std::uint64_t seed, Metrics &metrics);
     PolicyTask(const PolicyTask &) = delete;
     PolicyTask &operator=(const PolicyTask &) = delete;
