Name local constants as the linter wants them

Cause: clang-tidy found five names in tests and bench. Ruled out: nothing. Change: names only. Before: 5 findings. After: childcalltest.cpp and bench-latency compile; the linter was not run again. Conclusion: to be confirmed by the next run of the linter on all files.

--- a/bench/latency.cpp
+++ b/bench/latency.cpp
@@ -90,9 +90,9 @@
             : static_cast<double>(sorted[static_cast<std::size_t>(static_cast<double>(sorted.size() - 1) * part)])
                 / 1000.0;
     };
-    constexpr double Median = 0.5;
-    constexpr double High = 0.99;
-    return {{"calls", sorted.size()}, {"failed", way.failed}, {"p50Ms", at(Median)}, {"p99Ms", at(High)}};
+    constexpr double median = 0.5;
+    constexpr double high = 0.99;
+    return {{"calls", sorted.size()}, {"failed", way.failed}, {"p50Ms", at(median)}, {"p99Ms", at(high)}};
 }
 
 int run(const std::map<std::string, docopt::value> &arguments)
--- a/tests/net/loop.h
+++ b/tests/net/loop.h
@@ -44,8 +44,8 @@
     template <typename Condition>
     void runUntil(Condition condition)
     {
-        constexpr auto Bound = std::chrono::seconds(20);
-        const auto end = std::chrono::steady_clock::now() + Bound;
+        constexpr auto bound = std::chrono::seconds(20);
+        const auto end = std::chrono::steady_clock::now() + bound;
         while (!condition()) {
             context.restart();
             if (context.run_one_until(end) == 0 && !condition()) {
--- a/tests/node/childcalltest.cpp
+++ b/tests/node/childcalltest.cpp
@@ -19,8 +19,8 @@
     /// The parent calls a failing service three times; one root allowance of 2 bounds the attempts of all three.
     void childrenShareTheAllowanceOfTheRoot()
     {
-        constexpr int Children = 3;
-        constexpr int Allowance = 2;
+        constexpr int children = 3;
+        constexpr int allowance = 2;
         int childRuns = 0;
         FakeUpstream child(m_loop, [&](HttpRequest, RequestScope &) -> asio::awaitable<HttpResponse> {
             ++childRuns;
@@ -31,7 +31,7 @@
         TestNode parentNode(m_loop, "node-a");
         TestNode childNode(m_loop, "node-b");
         FakeUpstream parent(m_loop, [&](HttpRequest request, RequestScope &) -> asio::awaitable<HttpResponse> {
-            for (int i = 0; i < Children; ++i) {
+            for (int i = 0; i < children; ++i) {
                 co_await callChild(parentNode, std::string(fieldValue(request.message, ParentField)));
             }
             co_return makeResponse(200, "text/plain", "done");
@@ -41,8 +41,8 @@
             const auto answer = co_await call(parentNode.node().addresses().caller, "GET", "/x", parentFields());
             CPPUNIT_ASSERT_EQUAL(std::string("done"), answer.message.body());
         }());
-        CPPUNIT_ASSERT(childRuns >= Children);
-        CPPUNIT_ASSERT(childRuns <= Children + Allowance);
+        CPPUNIT_ASSERT(childRuns >= children);
+        CPPUNIT_ASSERT(childRuns <= children + allowance);
     }
 
     void childOfAnEndedParentIsNotRun()
