--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -52,6 +52,7 @@
     return limits;
 }
 
+constexpr std::array<const char *, 4> StateLabels{"up", "shedding", "draining", "gone"};
 constexpr std::size_t CallerConnections = 4096;
 constexpr std::size_t PeerConnections = 8192;
 constexpr std::size_t LocalConnections = 2048;
@@ -84,6 +85,7 @@
                     [this](HttpRequest request, RequestScope &scope) { return onAdmin(std::move(request), scope); }),
       m_housekeepingTimer(context), m_stopTimer(context)
 {
+    m_calls.observeServices([this](const ServiceName &service) { m_control.wantService(service); });
     bind();
 }
 
@@ -282,7 +284,6 @@
         {"load", {{"running", status.load.running}, {"queued", status.load.queued}, {"limit", status.load.limit}}}};
     json["control"] = Json::parse(m_control.statusText());
     if (status.upstream) {
-        constexpr std::array<const char *, 4> StateLabels{"up", "shedding", "draining", "gone"};
         json["upstream"] = {{"service", status.upstream->service.value()},
                             {"address", status.upstream->address.value()},
                             {"slots", status.upstream->slots.value()},
