--- a/src/core/kindload.cpp
+++ b/src/core/kindload.cpp
@@ -11,8 +11,14 @@
 constexpr double SampleClip = 5.0;
 /// Largest factor between a window's mean and the present estimate.
 constexpr double WindowClip = 2.0;
-constexpr double WindowWeight = 0.3;
-/// Credit beyond two service times and this is forgotten, so an earlier idle or busy period does not weigh on later.
+/// Weight of a window's mean. With 0.3 the noise of the means moved the thresholds by 2 %.
+constexpr double WindowWeight = 0.05;
+/// Weight if the mean of at least ChangedSamples samples is off by more than ServiceTimeChange.
+constexpr double ChangedWindowWeight = 0.3;
+constexpr double ServiceTimeChange = 0.5;
+constexpr int ChangedSamples = 10;
+/// Credit beyond two service times and this much of the quota is forgotten, so an earlier period does not weigh on
+/// later.
 constexpr double CreditSeconds = 0.1;
 /// Tolerance when quotas that should be whole numbers are computed from shares such as 0.1.
 constexpr double QuotaTolerance = 1e-6;
@@ -22,6 +28,12 @@
 /// The share threshold aims at slightly more than the share, so that the queue does not run empty between arrivals.
 constexpr double ShareMargin = 1.03;
 
+/// Running requests up to which credit lets a kind start more.
+double mostWithCredit(double quota)
+{
+    return quota > 0.0 ? 2.0 * quota + 1.0 : 0.0;
+}
+
 double toSeconds(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -44,7 +56,8 @@
     const double mean = m_sum / m_count;
     if (m_measured) {
         const double clipped = std::clamp(mean, m_seconds / WindowClip, m_seconds * WindowClip);
-        m_seconds += WindowWeight * (clipped - m_seconds);
+        const bool changed = m_count >= ChangedSamples && std::abs(mean - m_seconds) > ServiceTimeChange * m_seconds;
+        m_seconds += (changed ? ChangedWindowWeight : WindowWeight) * (clipped - m_seconds);
     } else {
         m_seconds = mean;
         m_measured = true;
@@ -69,8 +82,8 @@
 
 bool KindLoad::inShare(int limit) const
 {
-    const double free = quota(limit) - running;
-    return free >= 1.0 - QuotaTolerance || (free > QuotaTolerance && credit > 0.0);
+    const double slots = quota(limit);
+    return slots - running >= 1.0 - QuotaTolerance || (credit > 0.0 && running < mostWithCredit(slots));
 }
 
 std::size_t KindLoad::protectedQueue(std::size_t queueLength) const
@@ -88,9 +101,13 @@
     const double elapsed = m_advanced ? toSeconds(now - *m_advanced) : 0.0;
     m_advanced = now;
     m_backlogIntegral += backlog() * elapsed;
-    const double charged = std::min<double>(running, std::ceil(quota(limit) - QuotaTolerance));
-    const double bound = 2.0 * serviceTime.seconds() + CreditSeconds;
-    credit = std::clamp(credit + (quota(limit) - charged) * elapsed, -bound, bound);
+    const double slots = quota(limit);
+    const double owed = slots - std::min<double>(running, mostWithCredit(slots));
+    const bool wanted = !queue.empty() || shareThreshold.threshold().last.has_value();
+    if (owed < 0.0 || wanted) {
+        const double bound = 2.0 * serviceTime.seconds() + CreditSeconds * std::max(1.0, slots);
+        credit = std::clamp(credit + owed * elapsed, -bound, bound);
+    }
 }
 
 double KindLoad::closeWindow(Duration length, int limit, Duration targetDelay)
