--- a/src/core/attemptregistry.cpp
+++ b/src/core/attemptregistry.cpp
@@ -84,7 +84,7 @@
     }
     auto &entry = found->second;
     if (entry.once && expired(entry.epoch)) {
-        // The process was frozen while the attempt was queued; its caller has long been told something else.
+        // The process was paused while the attempt was queued; its caller has long been told something else.
         entry.state = State::Voided;
         end(id);
         return StartVerdict::Voided;
--- a/src/core/callcontext.h
+++ b/src/core/callcontext.h
@@ -1,7 +1,7 @@
 // The context of one attempt as it travels between nodes in the header Geraniumsail-Context.
 //
 // The deadline travels as the remaining milliseconds, because clocks of two VMs are not comparable; the receiver adds
-// them to its own monotonic time. A process that was frozen with the head in its socket buffer therefore sees a later
+// them to its own monotonic time. A process that was paused with the head in its socket buffer therefore sees a later
 // deadline than the caller did, which is why the attempt registry, not the deadline, decides whether a request runs.
 #ifndef GERANIUMSAIL_CORE_CALLCONTEXT_H
 #define GERANIUMSAIL_CORE_CALLCONTEXT_H
