--- a/src/config/reader.cpp
+++ b/src/config/reader.cpp
@@ -162,6 +162,19 @@
     return field->get<std::string>();
 }
 
+std::optional<std::string> ObjectReader::text(const std::string &name, const std::string &expected)
+{
+    const auto *field = find(name, expected);
+    if (field == nullptr) {
+        return std::nullopt;
+    }
+    if (!field->is_string()) {
+        report(name, expected, describe(*field));
+        return std::nullopt;
+    }
+    return field->get<std::string>();
+}
+
 std::optional<std::uint64_t> ObjectReader::integer(const std::string &name, std::uint64_t min, std::uint64_t max)
 {
     const auto expected = "a whole number from " + std::to_string(min) + " to " + std::to_string(max);
--- a/src/config/reader.h
+++ b/src/config/reader.h
@@ -37,6 +37,8 @@
     std::optional<std::string> identifier(const std::string &name);
     /// "ip:port" with an IPv4 address and a port from 1 to 65535.
     std::optional<std::string> address(const std::string &name);
+    /// Any text; expected describes it in a problem.
+    std::optional<std::string> text(const std::string &name, const std::string &expected);
     std::optional<std::uint64_t> integer(const std::string &name, std::uint64_t min, std::uint64_t max);
     std::optional<double> number(const std::string &name, double min, double max);
     std::optional<bool> boolean(const std::string &name);
--- /dev/null
+++ b/src/core/placement.h
@@ -0,0 +1,82 @@
+// Chooses the upstream for one request.
+//
+// The load it answers: upstreams of one service differ in speed by more than two, traffic differs between data centres,
+// and bytes between data centres are dear. Each candidate gets an estimate of the time until the answer: network
+// distance, the upstream's service time, and the wait for a slot given its last reported load and what this node sent
+// since. The data centre of this node is preferred by a margin, so requests leave it only when the wait there costs
+// more than the distance. Of the two best candidates one is chosen at random in proportion to closeness, so that nodes
+// with the same reports do not all choose the same upstream.
+//
+// A candidate that refused a connection, or failed much more often than its service on average, is avoided for a time.
+#ifndef GERANIUMSAIL_CORE_PLACEMENT_H
+#define GERANIUMSAIL_CORE_PLACEMENT_H
+
+#include "core/random.h"
+#include "core/upstreamdirectory.h"
+#include "core/workqueue.h"
+
+#include <map>
+#include <vector>
+
+namespace Geraniumsail {
+
+struct PlacementPlace
+{
+    NodeName node;
+    DataCentreName dataCentre;
+    RegionName region;
+};
+
+class Placement
+{
+public:
+    /// Added to the estimate for another data centre: keeps bytes local until waiting costs more.
+    static constexpr Duration DataCentrePenalty = std::chrono::milliseconds(40);
+    /// Added for another region: its round trip (40 ms) and the narrow link.
+    static constexpr Duration RegionPenalty = std::chrono::milliseconds(120);
+    /// Added for a lapsed entry.
+    static constexpr Duration LapsedPenalty = std::chrono::seconds(1);
+    /// A candidate that refused a connection is used again after this time, or when its entry changes.
+    static constexpr Duration SuspectTime = std::chrono::milliseconds(1500);
+
+    explicit Placement(PlacementPlace own);
+
+    /// The best of candidates without those in excluded; null if none is left.
+    const KnownEntry *pick(const std::vector<const KnownEntry *> &candidates, const std::vector<NodeName> &excluded,
+                           MonotonicTime now, Random &random) const;
+    void onSent(const NodeName &node, MonotonicTime now);
+    /// The exchange ended. failed: the upstream did not do the work although it was sent there.
+    void onEnded(const NodeName &node, bool failed, MonotonicTime now);
+    /// The node reported its load.
+    void onLoad(const NodeName &node, const QueueLoad &load, MonotonicTime now);
+    /// The node could not be reached or did not answer.
+    void onUnreachable(const NodeName &node, MonotonicTime now);
+    /// The upstream was published as new or returned.
+    void onPublished(const NodeName &node);
+    void forget(const NodeName &node);
+
+    /// Estimated time until the answer of a request that is sent now.
+    Duration estimate(const KnownEntry &candidate, MonotonicTime now) const;
+    Duration distance(const DirectoryEntry &entry) const;
+
+private:
+    struct Observed
+    {
+        QueueLoad load;
+        MonotonicTime loadAt;
+        std::uint32_t inFlight = 0; ///< Sent by this node and not ended.
+        std::uint32_t sentSinceLoad = 0;
+        double failureRate = 0;
+        MonotonicTime failureAt;
+        MonotonicTime suspectUntil;
+    };
+
+    double failureRate(const Observed &observed, MonotonicTime now) const;
+
+    PlacementPlace m_own;
+    std::map<NodeName, Observed> m_observed;
+};
+
+} // namespace Geraniumsail
+
+#endif
--- /dev/null
+++ b/src/core/rootadmission.h
@@ -0,0 +1,76 @@
+// Refuses root requests at the entry when a service that their calls lead to is overloaded.
+//
+// The load it answers: calls fan out, and the smallest service is at the end of the tree. A request that is admitted at
+// the entry and fails three calls deep has wasted the work of every service above. So each node publishes an admitted
+// part with its answers, a number from 0 to 1: the least of its own queue's part and of what it learned from the
+// answers to its upstream's calls. At the entry that number decides which share of a route's root requests is admitted.
+// Calls are never refused here: their root was admitted.
+//
+// OverloadSignal controls the part at one queue: it falls while requests are refused or wait, and rises slowly
+// otherwise. RootAdmission keeps the part heard for each route and decides.
+#ifndef GERANIUMSAIL_CORE_ROOTADMISSION_H
+#define GERANIUMSAIL_CORE_ROOTADMISSION_H
+
+#include "core/routetable.h"
+#include "core/units.h"
+
+#include <map>
+
+namespace Geraniumsail {
+
+/// Part of root requests that a service can take, from 0 to 1.
+using AdmittedPart = StrongNumber<struct AdmittedPartTag, double>;
+
+class OverloadSignal
+{
+public:
+    /// Length of one control step; a few requests end in it at the usual service times.
+    static constexpr Duration Step = std::chrono::milliseconds(200);
+    /// Wait in the queue that counts as overload.
+    static constexpr Duration TargetWait = std::chrono::milliseconds(40);
+    /// Lowest part: keeps enough requests flowing to notice that the overload has ended.
+    static constexpr double Floor = 0.1;
+
+    /// A request left the queue after this wait.
+    void onWait(Duration wait);
+    void onRefused();
+    /// Applies the steps that have passed.
+    void tick(MonotonicTime now);
+    AdmittedPart part() const
+    {
+        return AdmittedPart(m_part);
+    }
+
+private:
+    std::uint32_t m_waited = 0;
+    std::uint32_t m_refused = 0;
+    std::uint32_t m_total = 0;
+    double m_part = 1;
+    MonotonicTime m_stepEnd;
+};
+
+class RootAdmission
+{
+public:
+    /// A part that was heard counts half as much after this time without a new one.
+    static constexpr Duration HalfLife = std::chrono::milliseconds(1500);
+
+    /// An answer to a request of this route carried a part.
+    void onAnswer(const RouteName &route, AdmittedPart part, MonotonicTime now);
+    /// The part in force for a route.
+    AdmittedPart part(const RouteName &route, MonotonicTime now) const;
+    /// Whether a root request is admitted. draw: uniform in [0, 1), from the request.
+    bool admit(const RouteRule &rule, double draw, MonotonicTime now) const;
+
+private:
+    struct Heard
+    {
+        double part = 1;
+        MonotonicTime at;
+    };
+    std::map<RouteName, Heard> m_heard;
+};
+
+} // namespace Geraniumsail
+
+#endif
--- /dev/null
+++ b/src/core/upstreamgate.cpp
@@ -0,0 +1,87 @@
+#include "core/upstreamgate.h"
+
+namespace Geraniumsail {
+
+const char *phaseLabel(UpstreamPhase phase)
+{
+    switch (phase) {
+    case UpstreamPhase::Ready:
+        return "ready";
+    case UpstreamPhase::Draining:
+        return "draining";
+    case UpstreamPhase::Gone:
+        return "gone";
+    }
+    return "unknown";
+}
+
+UpstreamGate::UpstreamGate(ServiceName service, Address address)
+    : m_service(std::move(service)), m_address(std::move(address))
+{
+}
+
+ReportVerdict UpstreamGate::onReport(const UpstreamReport &report, MonotonicTime now)
+{
+    if (report.service != m_service || report.address != m_address) {
+        return ReportVerdict::Foreign;
+    }
+    if (m_known) {
+        const auto &current = m_known->report;
+        const bool sameIncarnation = current.id == report.id && current.startedMs == report.startedMs;
+        const bool older = sameIncarnation ? report.sequence <= current.sequence : report.startedMs < current.startedMs;
+        if (older) {
+            return ReportVerdict::Stale;
+        }
+    }
+    auto applied = report;
+    const IncarnationKey key(report.id, report.startedMs);
+    const auto left = m_left.find(key);
+    if (left != m_left.end()) {
+        applied.phase = left->second;
+    } else if (report.phase != UpstreamPhase::Ready) {
+        m_left.emplace(key, report.phase);
+    }
+    m_known = OpenUpstream{applied, now + applied.coldRemaining, now};
+    m_unreachable = false;
+    return ReportVerdict::Applied;
+}
+
+ReportVerdict UpstreamGate::onLeave(const UpstreamId &id, std::int64_t startedMs)
+{
+    if (!m_known || m_known->report.id != id) {
+        m_left.insert_or_assign({id, startedMs}, UpstreamPhase::Gone);
+        return ReportVerdict::Stale;
+    }
+    auto &current = m_known->report;
+    if (startedMs != 0 && startedMs != current.startedMs) {
+        m_left.insert_or_assign({id, startedMs}, UpstreamPhase::Gone);
+        return ReportVerdict::Stale;
+    }
+    current.phase = UpstreamPhase::Gone;
+    m_left.insert_or_assign({id, current.startedMs}, UpstreamPhase::Gone);
+    return ReportVerdict::Applied;
+}
+
+void UpstreamGate::onWrongInstance(const UpstreamId &expected)
+{
+    if (m_known && m_known->report.id == expected) {
+        m_unreachable = true;
+    }
+}
+
+void UpstreamGate::onRefusedConnection(const UpstreamId &id)
+{
+    if (m_known && m_known->report.id == id) {
+        m_unreachable = true;
+    }
+}
+
+const OpenUpstream *UpstreamGate::open(MonotonicTime now) const
+{
+    if (!m_known || m_unreachable || m_known->report.phase != UpstreamPhase::Ready) {
+        return nullptr;
+    }
+    return now - m_known->heardAt > ReportLifetime ? nullptr : &*m_known;
+}
+
+} // namespace Geraniumsail
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -3,6 +3,8 @@
 #include "net/clock.h"
 #include "net/httppool.h"
 
+#include <netinet/tcp.h>
+
 namespace Geraniumsail {
 
 namespace asio = boost::asio;
@@ -12,6 +14,10 @@
 namespace {
 
 using Parser = http::response_parser<http::buffer_body>;
+using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+/// Answers to earlier requests that are dropped before the awaited one is given up.
+constexpr int MaxForeignAnswers = 2;
 
 } // namespace
 
@@ -39,7 +45,9 @@
     std::unique_ptr<Lease> m_lease;
     ExchangeOptions m_options;
     std::unique_ptr<Parser> m_parser;
-    bool m_writeFailed = false;
+    bool m_mayReuse = true; ///< The connection holds nothing but whole answers to whole requests.
+    int m_foreignAnswers = 0;
+    std::string m_echo;
     Cancellation::Registration m_registration;
 };
 
@@ -47,8 +55,8 @@
 class HttpClient::RestReader : public BodyReader
 {
 public:
-    RestReader(std::unique_ptr<Lease> lease, std::unique_ptr<Parser> parser, Cancellation *cancellation)
-        : m_lease(std::move(lease)), m_parser(std::move(parser)), m_cancellation(cancellation)
+    RestReader(std::unique_ptr<Lease> lease, std::unique_ptr<Parser> parser, Cancellation *cancellation, bool mayReuse)
+        : m_lease(std::move(lease)), m_parser(std::move(parser)), m_cancellation(cancellation), m_mayReuse(mayReuse)
     {
         if (m_cancellation != nullptr) {
             auto &stream = m_lease->connection().stream;
@@ -73,7 +81,7 @@
             co_return failure;
         }
         if (m_parser->is_done()) {
-            if (m_parser->keep_alive() && connection.buffer.size() == 0) {
+            if (m_mayReuse && m_parser->keep_alive() && connection.buffer.size() == 0) {
                 m_lease->giveBack();
             }
             release();
@@ -91,6 +99,7 @@
     std::unique_ptr<Lease> m_lease;
     std::unique_ptr<Parser> m_parser;
     Cancellation *m_cancellation;
+    bool m_mayReuse;
     Cancellation::Registration m_registration;
 };
 
@@ -110,6 +119,9 @@
     }
     m_lease->connection().stream.expires_at(toSteady(m_options.deadline));
     const bool isHead = request.message.method() == http::verb::head;
+    if (!m_options.echoField.empty()) {
+        m_echo = std::string(fieldValue(request.message, m_options.echoField));
+    }
     if (const auto error = co_await write(request)) {
         co_return *error;
     }
@@ -136,6 +148,10 @@
     }
     ErrorCode ignored;
     stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    if (m_lease->limits().unacknowledged.count() > 0) {
+        const auto limit = std::chrono::duration_cast<std::chrono::milliseconds>(m_lease->limits().unacknowledged);
+        stream.socket().set_option(UserTimeout(static_cast<int>(limit.count())), ignored);
+    }
     co_return std::nullopt;
 }
 
@@ -157,7 +173,7 @@
     if (error && (isCancelled() || error == boost::beast::error::timeout)) {
         co_return afterSend(error);
     }
-    m_writeFailed = static_cast<bool>(error);
+    m_mayReuse = !error;
     co_return std::nullopt;
 }
 
@@ -177,12 +193,26 @@
         const auto status = m_parser->get().result_int();
         const auto encoding = m_parser->get()[http::field::transfer_encoding];
         const bool unknownEncoding = !encoding.empty() && !boost::beast::iequals(encoding, "chunked");
-        if (m_parser->need_eof() || unknownEncoding || status == 101 || status < 100) {
+        const bool unframed = m_parser->need_eof() && !m_options.closeDelimited;
+        if (unframed || unknownEncoding || status == 101 || status < 100) {
             co_return TransferError::TruncatedAnswer;
         }
-        if (status >= 200) {
+        if (status < 200) {
+            continue;
+        }
+        if (m_options.echoField.empty() || fieldValue(m_parser->get(), m_options.echoField) == m_echo) {
             co_return std::nullopt;
         }
+        m_mayReuse = false;
+        if (++m_foreignAnswers > MaxForeignAnswers || m_parser->need_eof()) {
+            co_return TransferError::TruncatedAnswer;
+        }
+        std::string dropped;
+        const auto dropError =
+            co_await readBody(connection.stream, connection.buffer, *m_parser, dropped, WholeBodyLimit);
+        if (dropError || !m_parser->is_done()) {
+            co_return TransferError::TruncatedAnswer;
+        }
     }
 }
 
@@ -198,14 +228,15 @@
     response.message.body() = std::move(body);
     m_registration = {};
     if (!m_parser->is_done()) {
-        response.rest = std::make_unique<RestReader>(std::move(m_lease), std::move(m_parser), m_options.cancellation);
+        response.rest =
+            std::make_unique<RestReader>(std::move(m_lease), std::move(m_parser), m_options.cancellation, m_mayReuse);
         co_return response;
     }
-    if (m_parser->chunked()) {
+    if (m_parser->chunked() || m_parser->need_eof()) {
         response.message.chunked(false);
         response.message.content_length(response.message.body().size());
     }
-    if (m_parser->keep_alive() && connection.buffer.size() == 0 && !m_writeFailed) {
+    if (m_parser->keep_alive() && connection.buffer.size() == 0 && m_mayReuse) {
         m_lease->giveBack();
     }
     co_return response;
@@ -239,7 +270,7 @@
 asio::awaitable<HttpClient::Result> HttpClient::send(Address address, HttpRequest request, ExchangeOptions options)
 {
     auto lease = std::make_unique<Lease>(m_state, std::move(address));
-    if (!lease->acquire()) {
+    if (!lease->acquire(options.newConnection)) {
         co_return TransferError::PoolFull;
     }
     request.message.version(11);
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -26,6 +26,9 @@
     Duration idle = std::chrono::seconds(4);
     std::size_t idlePerAddress = 64;
     Duration connect = std::chrono::seconds(1);
+    /// Sent data that is not acknowledged for this time breaks the connection (TCP_USER_TIMEOUT); 0 for the system's
+    /// default.
+    Duration unacknowledged{0};
 };
 
 struct ExchangeOptions
@@ -34,6 +37,14 @@
     MonotonicTime deadline;
     /// Cancelled by the owner of the request; may be null. It must outlive the exchange and the rest of its answer.
     Cancellation *cancellation = nullptr;
+    /// Opens a new connection: a pooled one may be closed by the peer while the request is on its way, which leaves the
+    /// outcome unknown.
+    bool newConnection = false;
+    /// Accepts an answer without Content-Length and chunks, whose body ends with the connection.
+    bool closeDelimited = false;
+    /// Header field that the answer must repeat from the request; empty for none. An answer with another value belongs
+    /// to an earlier request: it is dropped, and the connection is not used again.
+    std::string echoField = {};
 };
 
 class HttpClient
@@ -55,6 +66,8 @@
     void setConnectionLimit(const Address &address, std::size_t limit);
     std::size_t openConnections(const Address &address) const;
     std::size_t idleConnections(const Address &address) const;
+    /// Closes the idle connections to an address, after one to it went silent.
+    void dropIdle(const Address &address);
     /// Closes connections that were idle for longer than the limit, and forgets addresses without connections.
     void closeIdle(MonotonicTime now);
 
--- a/src/net/httppool.cpp
+++ b/src/net/httppool.cpp
@@ -17,11 +17,11 @@
     }
 }
 
-bool HttpClient::Lease::acquire()
+bool HttpClient::Lease::acquire(bool newOnly)
 {
     auto &pool = m_state->pools[m_address];
     const auto oldest = monotonicNow() - m_state->limits.idle;
-    while (!pool.idle.empty()) {
+    while (!newOnly && !pool.idle.empty()) {
         auto candidate = std::move(pool.idle.back());
         pool.idle.pop_back();
         if (candidate->idleSince >= oldest && peekSocket(candidate->stream.socket()) == SocketState::Quiet) {
@@ -69,6 +69,15 @@
     return pool == m_state->pools.end() ? 0 : pool->second.idle.size();
 }
 
+void HttpClient::dropIdle(const Address &address)
+{
+    const auto pool = m_state->pools.find(address);
+    if (pool != m_state->pools.end()) {
+        pool->second.open -= pool->second.idle.size();
+        pool->second.idle.clear();
+    }
+}
+
 void HttpClient::closeIdle(MonotonicTime now)
 {
     for (auto &[address, pool] : m_state->pools) {
--- a/src/net/httppool.h
+++ b/src/net/httppool.h
@@ -44,8 +44,9 @@
     Lease &operator=(const Lease &) = delete;
     ~Lease();
 
-    /// Takes an idle connection that is still open, or makes an unconnected one; false if the pool is full.
-    bool acquire();
+    /// Takes an idle connection that is still open, or makes an unconnected one; false if the pool is full. newOnly
+    /// leaves the idle ones alone.
+    bool acquire(bool newOnly);
     /// Only after a whole answer with nothing behind it.
     void giveBack();
 
--- /dev/null
+++ b/src/relay/exchange.cpp
@@ -0,0 +1,150 @@
+#include "relay/exchange.h"
+
+#include "core/text.h"
+
+#include <array>
+
+namespace Geraniumsail {
+
+namespace {
+
+constexpr std::string_view ContextField = "Geraniumsail-Attempt";
+constexpr std::string_view OutcomeField = "Geraniumsail-Outcome";
+constexpr std::string_view ReasonField = "Geraniumsail-Reason";
+constexpr std::string_view ArrivedField = "Geraniumsail-Arrived";
+constexpr std::string_view LoadField = "Geraniumsail-Load";
+constexpr std::string_view PartField = "Geraniumsail-Admitted-Part";
+constexpr std::array NodeFields{ContextField, OutcomeField, ReasonField, ArrivedField, LoadField, PartField};
+/// Order of the values in the context field.
+constexpr std::size_t ContextParts = 10;
+/// Longest time that a context may state, in milliseconds.
+constexpr std::int64_t MaxTimeLeftMs = 3600L * 1000;
+
+std::int64_t toMs(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+std::optional<QueueLoad> readLoad(std::string_view text)
+{
+    const auto parts = splitText(text, ';');
+    if (parts.size() != 4) {
+        return std::nullopt;
+    }
+    const auto running = parseNumber<std::uint32_t>(parts[0]);
+    const auto waiting = parseNumber<std::uint32_t>(parts[1]);
+    const auto limit = parseNumber<std::uint32_t>(parts[2]);
+    const auto serviceTime = parseNumber<std::int64_t>(parts[3]);
+    if (!running || !waiting || !limit || !serviceTime || *serviceTime < 0) {
+        return std::nullopt;
+    }
+    return QueueLoad{*running, *waiting, *limit, Duration(*serviceTime)};
+}
+
+std::optional<AdmittedPart> readPart(std::string_view text)
+{
+    const auto thousandths = parseNumber<int>(text);
+    if (!thousandths || *thousandths < 0 || *thousandths > 1000) {
+        return std::nullopt;
+    }
+    return AdmittedPart(*thousandths / 1000.0);
+}
+
+} // namespace
+
+void writeContext(const AttemptContext &context, HttpRequestMessage &message)
+{
+    std::string text = context.service.value();
+    text += ';' + context.upstream.value();
+    text += ';' + context.callerService.value();
+    text += context.origin == Origin::Call ? ";call" : ";root";
+    text += context.repeatability == Repeatability::Idempotent ? ";idempotent" : ";once";
+    text += ';' + std::to_string(context.rank.value());
+    text += ';' + std::to_string(toMs(context.timeLeft));
+    text += ';' + std::to_string(toMs(context.maxWait));
+    text += ';' + std::to_string(context.version.value());
+    text += ';' + context.request.value();
+    message.set(std::string(ContextField), text);
+}
+
+std::optional<AttemptContext> readContext(const HttpRequestMessage &message)
+{
+    const auto parts = splitText(fieldValue(message, ContextField), ';');
+    if (parts.size() != ContextParts) {
+        return std::nullopt;
+    }
+    const auto rank = parseNumber<std::uint8_t>(parts[5]);
+    const auto timeLeft = parseNumber<std::int64_t>(parts[6]);
+    const auto maxWait = parseNumber<std::int64_t>(parts[7]);
+    const auto version = parseNumber<std::uint64_t>(parts[8]);
+    const bool inRange = timeLeft && maxWait && *timeLeft >= 0 && *timeLeft <= MaxTimeLeftMs && *maxWait >= 0
+        && *maxWait <= MaxTimeLeftMs;
+    if (!rank || !inRange || !version) {
+        return std::nullopt;
+    }
+    AttemptContext context;
+    context.service = ServiceName(std::string(parts[0]));
+    context.upstream = UpstreamId(std::string(parts[1]));
+    context.callerService = ServiceName(std::string(parts[2]));
+    context.origin = parts[3] == "call" ? Origin::Call : Origin::Root;
+    context.repeatability = parts[4] == "idempotent" ? Repeatability::Idempotent : Repeatability::AtMostOnce;
+    context.rank = Rank(*rank);
+    context.timeLeft = std::chrono::milliseconds(*timeLeft);
+    context.maxWait = std::chrono::milliseconds(*maxWait);
+    context.version = ConfigVersion(*version);
+    context.request = RequestId(std::string(parts[9]));
+    return context;
+}
+
+HttpResponse encodeResult(AttemptResult result)
+{
+    HttpResponse response = result.outcome == Outcome::Ran ? std::move(result.response) : errorResponse(result.error);
+    auto &message = response.message;
+    message.set(std::string(OutcomeField), outcomeLabel(result.outcome));
+    if (result.outcome != Outcome::Ran) {
+        message.set(std::string(ReasonField), errorRow(result.error).label);
+    }
+    message.set(std::string(ArrivedField), result.arrived ? "1" : "0");
+    if (result.load) {
+        const auto &load = *result.load;
+        message.set(std::string(LoadField),
+                    std::to_string(load.running) + ';' + std::to_string(load.waiting) + ';' + std::to_string(load.limit)
+                        + ';' + std::to_string(load.serviceTime.count()));
+    }
+    if (result.part) {
+        message.set(std::string(PartField), std::to_string(static_cast<int>(result.part->value() * 1000)));
+    }
+    return response;
+}
+
+AttemptResult decodeResult(HttpResponse response)
+{
+    AttemptResult result;
+    const auto &message = response.message;
+    const auto outcome = outcomeFromLabel(fieldValue(message, OutcomeField));
+    result.load = readLoad(fieldValue(message, LoadField));
+    result.part = readPart(fieldValue(message, PartField));
+    result.arrived = fieldValue(message, ArrivedField) != "0";
+    const auto kind = errorKindFromLabel(fieldValue(message, ReasonField));
+    if (outcome == Outcome::Ran) {
+        result.outcome = Outcome::Ran;
+        result.response = std::move(response);
+        removeNodeFields(result.response.message);
+    } else if (outcome == Outcome::NotRun) {
+        result.outcome = Outcome::NotRun;
+        result.error = kind.value_or(ErrorKind::NoUpstream);
+    } else {
+        result.outcome = Outcome::Unknown;
+        result.error = kind.value_or(ErrorKind::ConnectionLost);
+    }
+    return result;
+}
+
+void removeNodeFields(boost::beast::http::fields &fields)
+{
+    for (const auto field : NodeFields) {
+        fields.erase(std::string(field));
+    }
+}
+
+} // namespace Geraniumsail
--- /dev/null
+++ b/src/relay/targetside.cpp
@@ -0,0 +1,369 @@
+#include "relay/targetside.h"
+
+#include "net/httpwire.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Geraniumsail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Part of the upstream's slots that is used. Some upstreams slow down when nearly full, and a new connection holds a
+/// slot for a moment.
+constexpr double UsedSlots = 0.95;
+/// Change of the used slots for a shed request, and recovery with each answer.
+constexpr double ShedDecrease = 0.98;
+constexpr double ShedRecovery = 0.002;
+constexpr double LeastShedFactor = 0.5;
+/// Time beyond the deadline that an answer may take: the upstream's own answer at the deadline is better than none.
+constexpr Duration AnswerGrace = std::chrono::milliseconds(100);
+/// A local connection is established in well under a millisecond.
+constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
+/// Upstreams close idle connections after some seconds, at the soonest about five.
+constexpr Duration IdleTime = std::chrono::seconds(3);
+/// Refused connections in a row after which the upstream is taken as ended.
+constexpr int RefusedConnectionLimit = 3;
+/// A part learned from calls loses half of its effect in this time.
+constexpr Duration CallPartHalfLife = std::chrono::milliseconds(1500);
+/// Weight of one call's answer.
+constexpr double CallPartWeight = 0.05;
+/// Order of service: calls hold slots of the services above, so they come first together with the most urgent rank.
+constexpr WorkClass CallClass{0};
+
+WorkClass classOf(const AttemptContext &context)
+{
+    return context.origin == Origin::Call ? CallClass : WorkClass(context.rank.value());
+}
+
+ErrorKind errorOf(TransferError error)
+{
+    switch (error) {
+    case TransferError::PoolFull:
+        return ErrorKind::ConnectionLimit;
+    case TransferError::ConnectFailed:
+        return ErrorKind::ConnectFailed;
+    case TransferError::CancelledBeforeSend:
+        return ErrorKind::CancelledBeforeStart;
+    case TransferError::CancelledAfterSend:
+        return ErrorKind::CancelledAfterStart;
+    case TransferError::TimedOut:
+        return ErrorKind::TimedOut;
+    case TransferError::TruncatedAnswer:
+        return ErrorKind::TruncatedAnswer;
+    case TransferError::ConnectionLost:
+    case TransferError::TruncatedRequest:
+    case TransferError::SlowRequest:
+    case TransferError::RequestTooLarge:
+        return ErrorKind::ConnectionLost;
+    }
+    return ErrorKind::ConnectionLost;
+}
+
+/// Statuses by which a node promises that a request has not run and will not.
+bool promisesNotRun(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace
+
+/// A request that waits for a slot.
+struct TargetSide::Waiter
+{
+    asio::steady_timer timer;
+    bool granted = false;
+    std::optional<ErrorKind> refused;
+};
+
+TargetSide::TargetSide(asio::any_io_executor executor, const HeaderNames &names, ServiceName service, Address upstream,
+                       const Reporter &reporter)
+    : m_executor(executor), m_names(names), m_service(std::move(service)), m_address(std::move(upstream)),
+      m_reporter(reporter),
+      m_client(executor, ClientLimits{.idle = IdleTime, .idlePerAddress = 64, .connect = ConnectTimeout}),
+      m_gate(m_service, m_address)
+{
+}
+
+ReportVerdict TargetSide::onReport(const UpstreamReport &report)
+{
+    const auto now = monotonicNow();
+    const bool wasOpen = m_gate.open(now) != nullptr;
+    const auto verdict = m_gate.onReport(report, now);
+    if (verdict == ReportVerdict::Applied) {
+        m_refusedConnections = 0;
+        updateLimit();
+        const bool isOpen = m_gate.open(now) != nullptr;
+        if (!isOpen) {
+            closeGate();
+        } else if (!wasOpen) {
+            m_client.dropIdle(m_address);
+            startWaiting();
+        }
+    }
+    return verdict;
+}
+
+ReportVerdict TargetSide::onLeave(const UpstreamId &id, std::int64_t startedMs)
+{
+    const auto verdict = m_gate.onLeave(id, startedMs);
+    if (m_gate.open(monotonicNow()) == nullptr) {
+        closeGate();
+    }
+    return verdict;
+}
+
+void TargetSide::setConnectionLimit(Connections limit)
+{
+    m_client.setConnectionLimit(m_address, limit.value());
+}
+
+void TargetSide::beginStop()
+{
+    m_stopping = true;
+}
+
+void TargetSide::closeGate()
+{
+    wake(m_queue.clear(), ErrorKind::Draining);
+}
+
+void TargetSide::updateLimit()
+{
+    const auto &known = m_gate.known();
+    if (!known) {
+        return;
+    }
+    const double slots = known->report.slots.value();
+    const auto limit = static_cast<std::uint32_t>(std::floor(slots * UsedSlots * m_shedFactor));
+    m_queue.setLimit(std::max(1U, limit));
+}
+
+void TargetSide::onCallPart(AdmittedPart part)
+{
+    m_callPart += (part.value() - m_callPart) * CallPartWeight;
+    m_callPartAt = monotonicNow();
+}
+
+AdmittedPart TargetSide::part() const
+{
+    const auto age = static_cast<double>((monotonicNow() - m_callPartAt).count());
+    const double weight = std::exp2(-age / static_cast<double>(CallPartHalfLife.count()));
+    const double learned = 1 - (1 - m_callPart) * weight;
+    return AdmittedPart(std::min(learned, m_signal.part().value()));
+}
+
+void TargetSide::tick()
+{
+    const auto now = monotonicNow();
+    wake(m_queue.expire(now), ErrorKind::QueueFull);
+    m_signal.tick(now);
+    startWaiting();
+    m_client.closeIdle(now);
+    m_reporter.metrics.setLoad(m_queue.load(), part().value());
+}
+
+void TargetSide::wake(const std::vector<WorkId> &ids, std::optional<ErrorKind> reason)
+{
+    for (const auto id : ids) {
+        const auto waiter = m_waiters.find(id);
+        if (waiter != m_waiters.end()) {
+            waiter->second->granted = !reason;
+            waiter->second->refused = reason;
+            waiter->second->timer.cancel();
+        }
+    }
+}
+
+void TargetSide::startWaiting()
+{
+    wake(m_queue.start(monotonicNow()), std::nullopt);
+}
+
+void TargetSide::addState(AttemptResult &result) const
+{
+    result.load = m_queue.load();
+    result.part = part();
+}
+
+AttemptResult TargetSide::refusal(const AttemptContext &context, ErrorKind kind, Duration waited)
+{
+    AttemptResult result;
+    result.outcome = Outcome::NotRun;
+    result.error = kind;
+    result.arrived = false;
+    addState(result);
+    m_reporter.metrics.countTargetRefusal(kind);
+    const auto load = m_queue.load();
+    m_reporter.important(EventLine("target_refused")
+                             .add("id", context.request.value())
+                             .add("reason", errorRow(kind).label)
+                             .add("waited_ms", waited)
+                             .add("running", std::int64_t(load.running))
+                             .add("waiting", std::int64_t(load.waiting))
+                             .add("limit", std::int64_t(load.limit))
+                             .add("service_ms", load.serviceTime)
+                             .add("left_ms", context.timeLeft)
+                             .add("upstream", context.upstream.value()));
+    return result;
+}
+
+asio::awaitable<std::optional<ErrorKind>> TargetSide::waitForSlot(const AttemptContext &context, MonotonicTime arrived,
+                                                                  Cancellation &cancellation)
+{
+    const WorkId id(m_nextId++);
+    const WorkItem item{id, classOf(context), arrived + context.timeLeft, context.maxWait};
+    const auto verdict = m_queue.offer(item, arrived);
+    if (verdict == OfferVerdict::RefuseWait) {
+        m_signal.onRefused();
+        co_return ErrorKind::QueueFull;
+    }
+    if (verdict == OfferVerdict::RefuseDeadline) {
+        co_return ErrorKind::DeadlineBeforeStart;
+    }
+    if (verdict == OfferVerdict::Run) {
+        m_signal.onWait(Duration(0));
+        co_return std::nullopt;
+    }
+    Waiter waiter{
+        asio::steady_timer(m_executor, toSteady(arrived + std::min(context.timeLeft, context.maxWait))), false, {}};
+    m_waiters.emplace(id, &waiter);
+    const auto registration = cancellation.onCancel([&waiter] { waiter.timer.cancel(); });
+    co_await waiter.timer.async_wait(AsTuple);
+    m_waiters.erase(id);
+    if (waiter.granted) {
+        m_signal.onWait(monotonicNow() - arrived);
+        co_return std::nullopt;
+    }
+    m_queue.withdraw(id);
+    if (cancellation.isCancelled()) {
+        co_return ErrorKind::CancelledBeforeStart;
+    }
+    m_signal.onRefused();
+    co_return waiter.refused.value_or(ErrorKind::QueueFull);
+}
+
+asio::awaitable<AttemptResult> TargetSide::deliver(AttemptContext context, HttpRequest request,
+                                                   Cancellation &cancellation)
+{
+    const auto arrived = monotonicNow();
+    const auto *upstream = m_gate.open(arrived);
+    const bool wrongInstance =
+        upstream != nullptr && !context.upstream.empty() && context.upstream != upstream->report.id;
+    if (upstream == nullptr || context.service != m_service || wrongInstance) {
+        const auto &known = m_gate.known();
+        const bool left = known && known->report.phase != UpstreamPhase::Ready;
+        co_return refusal(context, left ? ErrorKind::Draining : ErrorKind::NoUpstream, Duration(0));
+    }
+    const auto refused = co_await waitForSlot(context, arrived, cancellation);
+    const auto now = monotonicNow();
+    if (refused) {
+        co_return refusal(context, *refused, now - arrived);
+    }
+    m_reporter.metrics.observe(Stage::Queue, now - arrived);
+    // The upstream may have left while the request waited.
+    std::optional<ErrorKind> late;
+    if (m_gate.open(now) == nullptr) {
+        late = ErrorKind::Draining;
+    } else if (cancellation.isCancelled()) {
+        late = ErrorKind::CancelledBeforeStart;
+    } else if (now >= arrived + context.timeLeft) {
+        late = ErrorKind::DeadlineBeforeStart;
+    }
+    if (late) {
+        m_queue.finish(Duration(0));
+        startWaiting();
+        co_return refusal(context, *late, now - arrived);
+    }
+    auto result = co_await run(context, std::move(request), arrived + context.timeLeft, cancellation);
+    const bool ran = result.outcome == Outcome::Ran;
+    m_queue.finish(ran ? monotonicNow() - now : Duration(0));
+    startWaiting();
+    addState(result);
+    co_return result;
+}
+
+asio::awaitable<AttemptResult> TargetSide::run(const AttemptContext &context, HttpRequest request,
+                                               MonotonicTime deadline, Cancellation &cancellation)
+{
+    const auto started = monotonicNow();
+    const auto expected = m_gate.known()->report.id;
+    auto &message = request.message;
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - started);
+    message.set(m_names.timeoutMs, std::to_string(std::max<std::int64_t>(1, left.count())));
+    message.set(m_names.expectedUpstream, expected.value());
+    message.set(m_names.callerService, context.callerService.value());
+    ExchangeOptions options;
+    options.deadline = deadline + AnswerGrace;
+    options.cancellation = &cancellation;
+    options.newConnection = context.repeatability == Repeatability::AtMostOnce;
+    options.closeDelimited = true;
+    options.echoField = m_names.requestId;
+    auto answer = co_await m_client.send(m_address, std::move(request), options);
+    m_reporter.metrics.observe(Stage::Upstream, monotonicNow() - started);
+    if (answer) {
+        m_refusedConnections = 0;
+        co_return classify(context, expected, std::move(*answer));
+    }
+    AttemptResult result;
+    result.error = errorOf(answer.error());
+    result.outcome = errorRow(result.error).outcome;
+    result.arrived = result.outcome != Outcome::NotRun;
+    if (result.error == ErrorKind::ConnectFailed && ++m_refusedConnections >= RefusedConnectionLimit) {
+        m_gate.onRefusedConnection(expected);
+        closeGate();
+        m_reporter.important(EventLine("upstream_unreachable").add("upstream", expected.value()));
+    }
+    m_reporter.important(EventLine("delivery_failed")
+                             .add("id", context.request.value())
+                             .add("reason", errorRow(result.error).label)
+                             .add("upstream", expected.value())
+                             .add("took_ms", monotonicNow() - started)
+                             .add("left_ms", deadline - monotonicNow()));
+    co_return result;
+}
+
+AttemptResult TargetSide::classify(const AttemptContext &context, const UpstreamId &expected, HttpResponse response)
+{
+    AttemptResult result;
+    result.arrived = true;
+    const auto status = response.message.result_int();
+    const bool signedAnswer = response.message.count(m_names.signature) > 0;
+    const bool notExecuted = response.message.count(m_names.notExecuted) > 0;
+    if (status == 421) {
+        result.outcome = Outcome::NotRun;
+        result.error = ErrorKind::NoUpstream;
+        result.arrived = false;
+        m_gate.onWrongInstance(expected);
+        closeGate();
+    } else if (notExecuted) {
+        result.outcome = Outcome::NotRun;
+        result.error = ErrorKind::UpstreamShed;
+        m_shedFactor = std::max(LeastShedFactor, m_shedFactor * ShedDecrease);
+        updateLimit();
+    } else if (!signedAnswer || promisesNotRun(status)) {
+        // Without the signature nothing tells that the upstream made the answer; and a status that promises "not run"
+        // without the upstream's word for it must not be passed on.
+        result.outcome = Outcome::Unknown;
+        result.error = ErrorKind::TruncatedAnswer;
+    } else {
+        result.outcome = Outcome::Ran;
+        result.response = std::move(response);
+        if (m_shedFactor < 1) {
+            m_shedFactor = std::min(1.0, m_shedFactor + ShedRecovery);
+            updateLimit();
+        }
+        return result;
+    }
+    m_reporter.important(EventLine("upstream_answer_rejected")
+                             .add("id", context.request.value())
+                             .add("reason", errorRow(result.error).label)
+                             .add("status", std::int64_t(status))
+                             .add("signed", signedAnswer ? "yes" : "no")
+                             .add("upstream", expected.value()));
+    return result;
+}
+
+} // namespace Geraniumsail
--- /dev/null
+++ b/src/relay/targetside.h
@@ -0,0 +1,101 @@
+// Delivers requests to the upstream beside this node.
+//
+// Every request for the upstream passes here, from callers on this VM and from other nodes, so that the number in
+// flight is known exactly and a leaving upstream receives nothing after its acknowledgement. A request waits in the
+// WorkQueue; its coroutine sleeps on a timer that the queue's decisions cancel.
+//
+// What is certain: a refusal from here was never sent to the upstream. An answer counts as the upstream's only with its
+// signature and the id of the request.
+#ifndef GERANIUMSAIL_RELAY_TARGETSIDE_H
+#define GERANIUMSAIL_RELAY_TARGETSIDE_H
+
+#include "core/rootadmission.h"
+#include "core/upstreamgate.h"
+#include "core/workqueue.h"
+#include "net/httpclient.h"
+#include "relay/exchange.h"
+#include "relay/reporter.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+
+namespace Geraniumsail {
+
+class TargetSide
+{
+public:
+    TargetSide(boost::asio::any_io_executor executor, const HeaderNames &names, ServiceName service, Address upstream,
+               const Reporter &reporter);
+
+    /// Runs one request on the upstream, or says why not. The cancellation must outlive the answer.
+    boost::asio::awaitable<AttemptResult> deliver(AttemptContext context, HttpRequest request,
+                                                  Cancellation &cancellation);
+
+    /// A report of the upstream. Nothing is delivered to an incarnation after its report of leaving.
+    ReportVerdict onReport(const UpstreamReport &report);
+    ReportVerdict onLeave(const UpstreamId &id, std::int64_t startedMs);
+    /// The declared limit of connections to the upstream.
+    void setConnectionLimit(Connections limit);
+    /// Refuses requests of other nodes from now on.
+    void beginStop();
+    /// Expires waiting requests and moves the overload signal; to be called a few times a second.
+    void tick();
+    /// The upstream's calls were answered with this part.
+    void onCallPart(AdmittedPart part);
+
+    const UpstreamGate &gate() const
+    {
+        return m_gate;
+    }
+    const ServiceName &service() const
+    {
+        return m_service;
+    }
+    QueueLoad load() const
+    {
+        return m_queue.load();
+    }
+    /// The least of this queue's part and what was learned from the upstream's calls.
+    AdmittedPart part() const;
+    bool isStopping() const
+    {
+        return m_stopping;
+    }
+
+private:
+    struct Waiter;
+
+    boost::asio::awaitable<std::optional<ErrorKind>> waitForSlot(const AttemptContext &context, MonotonicTime arrived,
+                                                                 Cancellation &cancellation);
+    boost::asio::awaitable<AttemptResult> run(const AttemptContext &context, HttpRequest request,
+                                              MonotonicTime deadline, Cancellation &cancellation);
+    AttemptResult classify(const AttemptContext &context, const UpstreamId &expected, HttpResponse response);
+    AttemptResult refusal(const AttemptContext &context, ErrorKind kind, Duration waited);
+    void wake(const std::vector<WorkId> &ids, std::optional<ErrorKind> reason);
+    void startWaiting();
+    void closeGate();
+    void updateLimit();
+    void addState(AttemptResult &result) const;
+
+    boost::asio::any_io_executor m_executor;
+    const HeaderNames &m_names;
+    ServiceName m_service;
+    Address m_address;
+    const Reporter &m_reporter;
+    HttpClient m_client;
+    UpstreamGate m_gate;
+    WorkQueue m_queue;
+    OverloadSignal m_signal;
+    double m_callPart = 1;
+    MonotonicTime m_callPartAt;
+    std::map<WorkId, Waiter *> m_waiters;
+    std::uint64_t m_nextId = 1;
+    double m_shedFactor = 1; ///< Part of the slots in use, lowered while the upstream sheds.
+    int m_refusedConnections = 0; ///< In a row.
+    bool m_stopping = false;
+};
+
+} // namespace Geraniumsail
+
+#endif
