Explore upstreams without load reports; end the lease beside the last requests; tests of the relay

Change: 2 % of first choices go to the candidate of the region with the oldest load report; chance between two close candidates no longer moves a request to another data centre. The lease ends while the last requests end. A flood of dropped log lines is reported once a second (found by test-relay: one line a flush).

--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -71,9 +71,33 @@
     return total;
 }
 
+const KnownEntry *Placement::leastKnown(const std::vector<const KnownEntry *> &candidates, MonotonicTime now) const
+{
+    const KnownEntry *oldest = nullptr;
+    auto oldestAt = now - ExploreAge;
+    for (const auto *candidate : candidates) {
+        const auto found = m_observed.find(candidate->entry.node);
+        const bool never = found == m_observed.end();
+        const bool avoided = candidate->lapsedAt || candidate->entry.region != m_own.region
+            || (!never && (found->second.suspectUntil > now || found->second.inFlight > 0));
+        const auto loadAt = never ? MonotonicTime{} : found->second.loadAt;
+        if (!avoided && loadAt < oldestAt) {
+            oldest = candidate;
+            oldestAt = loadAt;
+        }
+    }
+    return oldest;
+}
+
 const KnownEntry *Placement::pick(const std::vector<const KnownEntry *> &candidates,
                                   const std::vector<NodeName> &excluded, MonotonicTime now, Random &random) const
 {
+    std::uniform_real_distribution<double> uniform(0, 1);
+    if (excluded.empty() && uniform(random) < ExploredPart) {
+        if (const auto *explored = leastKnown(candidates, now)) {
+            return explored;
+        }
+    }
     double failures = 0;
     for (const auto *candidate : candidates) {
         const auto found = m_observed.find(candidate->entry.node);
@@ -104,7 +128,8 @@
             secondTime = time;
         }
     }
-    if (second == nullptr) {
+    // Chance must not move requests to another data centre.
+    if (second == nullptr || distance(second->entry) != distance(best->entry)) {
         return best;
     }
     const auto ratio =
@@ -113,7 +138,7 @@
         return best;
     }
     const double chance = 0.5 * (CloseFactor - ratio) / (CloseFactor - 1);
-    return std::uniform_real_distribution<double>(0, 1)(random) < chance ? second : best;
+    return uniform(random) < chance ? second : best;
 }
 
 void Placement::onSent(const NodeName &node, MonotonicTime now)
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -4,8 +4,11 @@
 // and bytes between data centres are dear. Each candidate gets an estimate of the time until the answer: network
 // distance, the upstream's service time, and the wait for a slot given its last reported load and what this node sent
 // since. The data centre of this node is preferred by a margin, so requests leave it only when the wait there costs
-// more than the distance. Of the two best candidates one is chosen at random in proportion to closeness, so that nodes
-// with the same reports do not all choose the same upstream.
+// more than the distance. Of the two best candidates at the same distance one is chosen at random in proportion to
+// closeness, so that nodes with the same reports do not all choose the same upstream.
+//
+// Some requests go to the candidate whose load report is the oldest: a new upstream in another data centre would else
+// never be learned about, and never used when it is needed.
 //
 // A candidate that refused a connection, or failed much more often than its service on average, is avoided for a time.
 #ifndef GERANIUMSAIL_CORE_PLACEMENT_H
@@ -36,9 +39,18 @@
     static constexpr Duration RegionPenalty = std::chrono::milliseconds(120);
     /// Added for a lapsed entry.
     static constexpr Duration LapsedPenalty = std::chrono::seconds(1);
-    /// A candidate that refused a connection is used again after this time, or when its entry changes.
+    /// Some requests go to the candidate whose load report is the oldest: a new upstream in another data centre would
+    /// else
+    // never be learned about, and never used when it is needed.
+    //
+    // A candidate that refused a connection is used again after this time, or when its entry changes.
     static constexpr Duration SuspectTime = std::chrono::milliseconds(1500);
 
+    /// Share of requests that go to a candidate without a recent load report.
+    static constexpr double ExploredPart = 0.02;
+    /// Age of a load report from which a candidate is explored.
+    static constexpr Duration ExploreAge = std::chrono::seconds(2);
+
     explicit Placement(PlacementPlace own);
 
     /// The best of candidates without those in excluded; null if none is left.
@@ -72,6 +84,8 @@
     };
 
     double failureRate(const Observed &observed, MonotonicTime now) const;
+    /// The candidate of this region with the oldest report, or null if all reports are recent.
+    const KnownEntry *leastKnown(const std::vector<const KnownEntry *> &candidates, MonotonicTime now) const;
 
     PlacementPlace m_own;
     std::map<NodeName, Observed> m_observed;
--- a/src/relay/eventlog.cpp
+++ b/src/relay/eventlog.cpp
@@ -119,11 +119,12 @@
 
 void EventLog::flush(MonotonicTime now, WallTime wall)
 {
-    if (m_dropped > 0 && m_buffer.size() < BufferLimit / 2) {
+    const bool due = now - m_droppedReportedAt >= DroppedInterval;
+    if (m_dropped > 0 && due && m_buffer.size() < BufferLimit / 2) {
         const auto dropped = m_dropped;
         m_dropped = 0;
+        m_droppedReportedAt = now;
         append(EventLine("log_lines_dropped").add("count", static_cast<std::int64_t>(dropped)), wall);
-        m_refilledAt = std::max(m_refilledAt, now);
     }
     std::size_t written = 0;
     while (written < m_buffer.size()) {
--- a/src/relay/eventlog.h
+++ b/src/relay/eventlog.h
@@ -50,6 +50,9 @@
     /// Bytes kept for a reader that does not take them.
     static constexpr std::size_t BufferLimit = 256UL * 1024;
 
+    /// Between two lines about dropped lines.
+    static constexpr Duration DroppedInterval = std::chrono::seconds(1);
+
     /// Writes to this file descriptor, which is not changed or closed.
     explicit EventLog(int descriptor);
 
@@ -70,6 +73,7 @@
     MonotonicTime m_refilledAt;
     std::uint64_t m_dropped = 0;
     std::uint64_t m_droppedTotal = 0;
+    MonotonicTime m_droppedReportedAt;
 };
 
 } // namespace Geraniumsail
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -242,6 +242,11 @@
     m_ownEntryObserver = std::move(observer);
 }
 
+void Relay::observeAcceptEnd(std::function<void()> observer)
+{
+    m_acceptEndObserver = std::move(observer);
+}
+
 void Relay::notifyOwnEntry()
 {
     // The own entry needs no detour through the store.
@@ -346,6 +351,9 @@
     co_await timer.async_wait(AsTuple);
     m_callers.stop();
     m_peers.stop();
+    if (m_acceptEndObserver) {
+        m_acceptEndObserver();
+    }
     bool waiting = true;
     while (waiting) {
         timer.expires_after(StopPoll);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -44,6 +44,9 @@
     /// Called after each change of ownEntry().
     void observeOwnEntry(std::function<void()> observer);
 
+    /// Called during a stop, when the node accepts no requests any more.
+    void observeAcceptEnd(std::function<void()> observer);
+
     void onEntry(const DirectoryEntry &entry, std::uint64_t revision);
     void onEntryGone(const NodeName &node, std::uint64_t revision);
     void onAllEntries(const std::vector<std::pair<DirectoryEntry, std::uint64_t>> &entries, std::uint64_t revision);
@@ -82,6 +85,7 @@
     HttpServer m_announcements;
     HttpServer m_metricsServer;
     std::function<void()> m_ownEntryObserver;
+    std::function<void()> m_acceptEndObserver;
     std::int64_t m_startedMs;
     std::optional<bool> m_storeUp;
     bool m_stopping = false;
--- a/src/relay/storefollower.h
+++ b/src/relay/storefollower.h
@@ -52,9 +52,10 @@
         boost::asio::co_spawn(m_context, publish(), boost::asio::detached);
     }
 
-    /// Ends the lease, so that the own entry disappears at once.
+    /// Ends the lease, so that the own entry disappears at once, and publishes nothing any more.
     boost::asio::awaitable<void> leave()
     {
+        m_left = true;
         if (m_lease) {
             co_await m_store.endLease(*m_lease);
         }
@@ -183,7 +184,7 @@
             Duration next = RenewInterval;
             const auto entry = m_relay.ownEntry();
             m_dirty = false;
-            if (entry) {
+            if (entry && !m_left) {
                 const auto failure = co_await publishOnce(*entry);
                 if (failure) {
                     noteFailure("publish", *failure);
@@ -262,6 +263,7 @@
     std::mt19937_64 m_random;
     boost::asio::steady_timer m_publishTimer;
     bool m_dirty = false;
+    bool m_left = false;
     std::optional<LeaseId> m_lease;
     std::uint64_t m_revision = 0; ///< Of the own entry in the store, as last seen; 0 for absent.
     std::optional<DirectoryEntry> m_stored;
--- /dev/null
+++ b/tests/core/directorytest.cpp
@@ -0,0 +1,243 @@
+// Tests of the directory of upstreams, of the choice among them, and of the budget for repeats.
+#include "core/placement.h"
+#include "core/redeliverybudget.h"
+#include "core/rootadmission.h"
+#include "core/upstreamdirectory.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Geraniumsail {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+DirectoryEntry entry(const std::string &node, const std::string &dataCentre = "dc1", const std::string &region = "r1")
+{
+    DirectoryEntry result;
+    result.node = NodeName(node);
+    result.peer = Address("10.0.0.1:1");
+    result.dataCentre = DataCentreName(dataCentre);
+    result.region = RegionName(region);
+    result.service = ServiceName("bookings");
+    result.upstream = UpstreamId("i-" + node);
+    result.slots = Slots(10);
+    return result;
+}
+
+const ServiceName Bookings("bookings");
+
+class DirectoryTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DirectoryTest);
+    CPPUNIT_TEST(lapsedEntriesStayUsableForATime);
+    CPPUNIT_TEST(lapsedEntryThatCannotBeReachedIsGone);
+    CPPUNIT_TEST(leavingEntryIsNoCandidate);
+    CPPUNIT_TEST(olderRevisionsChangeNothing);
+    CPPUNIT_TEST(wholeReadLapsesWhatItLacks);
+    CPPUNIT_TEST(ownDataCentreFirstUntilItIsFull);
+    CPPUNIT_TEST(unreachableNodeIsAvoidedForATime);
+    CPPUNIT_TEST(slowUpstreamGetsLess);
+    CPPUNIT_TEST(failingUpstreamIsAvoidedAndTriedAgain);
+    CPPUNIT_TEST(newUpstreamElsewhereIsLearnedAbout);
+    CPPUNIT_TEST(budgetNeverExceedsItsShare);
+    CPPUNIT_TEST(admittedPartFallsInOverloadAndRecovers);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a fleet that is forgotten when the store revokes leases of nodes that are well.
+    void lapsedEntriesStayUsableForATime()
+    {
+        m_directory.put(entry("n1"), 1);
+        CPPUNIT_ASSERT(m_directory.lapse(NodeName("n1"), 2, m_now) == DirectoryChange::Lapsed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_directory.candidates(Bookings).size());
+        CPPUNIT_ASSERT(m_directory.put(entry("n1"), 3) == DirectoryChange::Added);
+        CPPUNIT_ASSERT(!m_directory.candidates(Bookings).front()->lapsedAt);
+        m_directory.lapse(NodeName("n1"), 4, m_now);
+        m_directory.prune(m_now + UpstreamDirectory::LapsedLifetime + seconds(1));
+        CPPUNIT_ASSERT(m_directory.candidates(Bookings).empty());
+    }
+
+    // Guards against requests that go on trying a lost VM.
+    void lapsedEntryThatCannotBeReachedIsGone()
+    {
+        m_directory.put(entry("n1"), 1);
+        CPPUNIT_ASSERT(m_directory.onUnreachable(NodeName("n1")) == DirectoryChange::None);
+        m_directory.lapse(NodeName("n1"), 2, m_now);
+        CPPUNIT_ASSERT(m_directory.onUnreachable(NodeName("n1")) == DirectoryChange::Removed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_directory.size());
+    }
+
+    void leavingEntryIsNoCandidate()
+    {
+        auto leaving = entry("n1");
+        m_directory.put(leaving, 1);
+        leaving.phase = UpstreamPhase::Draining;
+        CPPUNIT_ASSERT(m_directory.put(leaving, 2) == DirectoryChange::Updated);
+        CPPUNIT_ASSERT(m_directory.candidates(Bookings).empty());
+        CPPUNIT_ASSERT(m_directory.lapse(NodeName("n1"), 3, m_now) == DirectoryChange::Removed);
+    }
+
+    // Guards against a page of a long read that overwrites what a watch brought since.
+    void olderRevisionsChangeNothing()
+    {
+        m_directory.put(entry("n1"), 5);
+        auto leaving = entry("n1");
+        leaving.phase = UpstreamPhase::Draining;
+        CPPUNIT_ASSERT(m_directory.put(leaving, 4) == DirectoryChange::None);
+        CPPUNIT_ASSERT(m_directory.lapse(NodeName("n1"), 4, m_now) == DirectoryChange::None);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_directory.candidates(Bookings).size());
+    }
+
+    void wholeReadLapsesWhatItLacks()
+    {
+        m_directory.put(entry("n1"), 1);
+        m_directory.put(entry("n2"), 2);
+        const auto changes = m_directory.replaceAll({{entry("n2"), 2}, {entry("n3"), 3}}, 9, m_now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), changes.size());
+        CPPUNIT_ASSERT(m_directory.find(NodeName("n1"))->lapsedAt.has_value());
+        CPPUNIT_ASSERT(m_directory.find(NodeName("n3")) != nullptr);
+    }
+
+    // The load: one data centre gets more than its upstream can run. Guards against paying for bytes between data
+    // centres without need, and against waiting at home while another data centre is idle.
+    void ownDataCentreFirstUntilItIsFull()
+    {
+        m_directory.put(entry("home"), 1);
+        m_directory.put(entry("away", "dc2"), 2);
+        report("home", 2, 0, milliseconds(200));
+        report("away", 0, 0, milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(std::string("home"), pick());
+        report("home", 10, 30, milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(std::string("away"), pick());
+    }
+
+    void unreachableNodeIsAvoidedForATime()
+    {
+        m_directory.put(entry("n1"), 1);
+        m_directory.put(entry("n2", "dc2", "r2"), 2);
+        m_placement.onSent(NodeName("n1"), m_now);
+        m_placement.onEnded(NodeName("n1"), true, m_now);
+        report("n1", 1, 0, milliseconds(100));
+        report("n2", 1, 0, milliseconds(100));
+        m_placement.onUnreachable(NodeName("n1"), m_now);
+        CPPUNIT_ASSERT_EQUAL(std::string("n2"), pick());
+        m_placement.onPublished(NodeName("n1"));
+        CPPUNIT_ASSERT_EQUAL(std::string("n1"), pick());
+    }
+
+    void slowUpstreamGetsLess()
+    {
+        m_directory.put(entry("slow"), 1);
+        m_directory.put(entry("fast"), 2);
+        report("slow", 1, 0, milliseconds(900));
+        report("fast", 1, 0, milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(std::string("fast"), pick());
+    }
+
+    // Guards against an upstream that fails requests quickly and therefore looks idle.
+    void failingUpstreamIsAvoidedAndTriedAgain()
+    {
+        m_directory.put(entry("bad"), 1);
+        m_directory.put(entry("good"), 2);
+        for (int i = 0; i < 60; ++i) {
+            m_placement.onSent(NodeName("bad"), m_now);
+            m_placement.onEnded(NodeName("bad"), true, m_now);
+            m_placement.onSent(NodeName("good"), m_now);
+            m_placement.onEnded(NodeName("good"), false, m_now);
+        }
+        report("bad", 0, 0, milliseconds(100));
+        report("good", 5, 0, milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(std::string("good"), pick());
+        m_now += seconds(30);
+        report("bad", 0, 0, milliseconds(100));
+        report("good", 5, 0, milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(std::string("bad"), pick());
+    }
+
+    // Guards against an upstream that joins in another data centre of the region and never gets a request, because the
+    // own one always looks nearer.
+    void newUpstreamElsewhereIsLearnedAbout()
+    {
+        m_directory.put(entry("home"), 1);
+        m_directory.put(entry("new", "dc2"), 2);
+        int toNew = 0;
+        for (int i = 0; i < 1000; ++i) {
+            report("home", 1, 0, milliseconds(50));
+            toNew += pick() == "new" ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(toNew > 0);
+        CPPUNIT_ASSERT(toNew < 60);
+    }
+
+    // The load: every upstream fails every request while callers retry hard. Four levels of calls that each repeat at
+    // this rate must stay below the fleet's 0.2 repeats per request.
+    void budgetNeverExceedsItsShare()
+    {
+        RedeliveryBudget budget(0.2);
+        CPPUNIT_ASSERT(!budget.take(Bookings));
+        int repeats = 0;
+        for (int i = 0; i < 1000; ++i) {
+            budget.onFirstDelivery(Bookings);
+            repeats += budget.take(Bookings) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(repeats * 4 < 200);
+        CPPUNIT_ASSERT(repeats > 0);
+    }
+
+    // The load: a queue that refuses half of its requests for 3 s, then none. Guards against roots that are admitted
+    // only to fail at a deep service, and against a refusal that outlasts the overload.
+    void admittedPartFallsInOverloadAndRecovers()
+    {
+        OverloadSignal signal;
+        for (int step = 0; step < 15; ++step) {
+            m_now += OverloadSignal::Step;
+            for (int i = 0; i < 10; ++i) {
+                signal.onRefused();
+                signal.onWait(Duration(0));
+            }
+            signal.tick(m_now);
+        }
+        CPPUNIT_ASSERT(signal.part().value() < 0.3);
+        RouteRule rule;
+        rule.name = RouteName("r");
+        rule.rank = Rank(1);
+        RootAdmission admission;
+        for (int i = 0; i < 100; ++i) {
+            admission.onAnswer(rule.name, signal.part(), m_now);
+        }
+        CPPUNIT_ASSERT(!admission.admit(rule, 0.5, m_now));
+        rule.rank = MostUrgentRank;
+        CPPUNIT_ASSERT(admission.admit(rule, 0.99, m_now));
+        rule.rank = Rank(1);
+        CPPUNIT_ASSERT(admission.admit(rule, 0.9, m_now + seconds(10)));
+        for (int step = 0; step < 50; ++step) {
+            m_now += OverloadSignal::Step;
+            signal.tick(m_now);
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, signal.part().value(), 1e-9);
+    }
+
+private:
+    void report(const std::string &node, std::uint32_t running, std::uint32_t waiting, Duration service)
+    {
+        m_placement.onLoad(NodeName(node), QueueLoad{running, waiting, 10, service}, m_now);
+    }
+    std::string pick()
+    {
+        const auto *chosen = m_placement.pick(m_directory.candidates(Bookings), {}, m_now, m_random);
+        return chosen == nullptr ? "" : chosen->entry.node.value();
+    }
+
+    MonotonicTime m_now{seconds(100)};
+    Random m_random{5};
+    UpstreamDirectory m_directory;
+    Placement m_placement{{NodeName("n1"), DataCentreName("dc1"), RegionName("r1")}};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryTest);
+
+} // namespace
+
+} // namespace Geraniumsail
--- /dev/null
+++ b/tests/core/upstreamgatetest.cpp
@@ -0,0 +1,131 @@
+// Tests of the gate: reports arrive late, out of order, from earlier incarnations and from other writers.
+#include "core/upstreamgate.h"
+
+#include "core/random.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace Geraniumsail {
+
+namespace {
+
+using std::chrono::seconds;
+
+UpstreamReport report(const std::string &id, std::int64_t started, std::uint64_t sequence, UpstreamPhase phase)
+{
+    UpstreamReport result;
+    result.id = UpstreamId(id);
+    result.service = ServiceName("bookings");
+    result.address = Address("127.0.0.1:80");
+    result.slots = Slots(10);
+    result.phase = phase;
+    result.sequence = sequence;
+    result.startedMs = started;
+    return result;
+}
+
+class UpstreamGateTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(UpstreamGateTest);
+    CPPUNIT_TEST(closedUntilTheFirstReport);
+    CPPUNIT_TEST(drainingIsFinalForItsIncarnation);
+    CPPUNIT_TEST(leavingIsFinalAlsoWithoutDraining);
+    CPPUNIT_TEST(laterIncarnationUnderTheSameIdOpens);
+    CPPUNIT_TEST(foreignReportsChangeNothing);
+    CPPUNIT_TEST(silentUpstreamCloses);
+    CPPUNIT_TEST(orderOfReportsDoesNotMatter);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against deliveries after a restart of the node, before the upstream has said which incarnation it is.
+    void closedUntilTheFirstReport()
+    {
+        CPPUNIT_ASSERT(m_gate.open(m_now) == nullptr);
+        CPPUNIT_ASSERT(m_gate.onReport(report("i1", 5, 1, UpstreamPhase::Ready), m_now) == ReportVerdict::Applied);
+        CPPUNIT_ASSERT(m_gate.open(m_now) != nullptr);
+    }
+
+    // Guards against a late "ready" that revives an upstream whose draining was acknowledged.
+    void drainingIsFinalForItsIncarnation()
+    {
+        m_gate.onReport(report("i1", 5, 1, UpstreamPhase::Ready), m_now);
+        m_gate.onReport(report("i1", 5, 3, UpstreamPhase::Draining), m_now);
+        CPPUNIT_ASSERT(m_gate.open(m_now) == nullptr);
+        CPPUNIT_ASSERT(m_gate.onReport(report("i1", 5, 2, UpstreamPhase::Ready), m_now) == ReportVerdict::Stale);
+        m_gate.onReport(report("i1", 5, 9, UpstreamPhase::Ready), m_now);
+        CPPUNIT_ASSERT(m_gate.open(m_now) == nullptr);
+    }
+
+    // Guards against deliveries to an upstream that deregistered and still serves for a while.
+    void leavingIsFinalAlsoWithoutDraining()
+    {
+        m_gate.onReport(report("i1", 5, 1, UpstreamPhase::Ready), m_now);
+        CPPUNIT_ASSERT(m_gate.onLeave(UpstreamId("i1"), 0) == ReportVerdict::Applied);
+        m_gate.onReport(report("i1", 5, 2, UpstreamPhase::Ready), m_now);
+        CPPUNIT_ASSERT(m_gate.open(m_now) == nullptr);
+    }
+
+    // Guards against a new incarnation that stays shut because its id was used before.
+    void laterIncarnationUnderTheSameIdOpens()
+    {
+        m_gate.onReport(report("i1", 5, 8, UpstreamPhase::Ready), m_now);
+        m_gate.onLeave(UpstreamId("i1"), 5);
+        m_gate.onReport(report("i1", 6, 1, UpstreamPhase::Ready), m_now);
+        CPPUNIT_ASSERT(m_gate.open(m_now) != nullptr);
+        CPPUNIT_ASSERT(m_gate.onLeave(UpstreamId("i1"), 5) == ReportVerdict::Stale);
+        CPPUNIT_ASSERT(m_gate.open(m_now) != nullptr);
+    }
+
+    // Guards against deliveries to a VM that took over an address, or by another writer's report.
+    void foreignReportsChangeNothing()
+    {
+        auto other = report("i2", 9, 1, UpstreamPhase::Ready);
+        other.service = ServiceName("charts");
+        CPPUNIT_ASSERT(m_gate.onReport(other, m_now) == ReportVerdict::Foreign);
+        other = report("i2", 9, 1, UpstreamPhase::Ready);
+        other.address = Address("127.0.0.1:81");
+        CPPUNIT_ASSERT(m_gate.onReport(other, m_now) == ReportVerdict::Foreign);
+        CPPUNIT_ASSERT(m_gate.open(m_now) == nullptr);
+    }
+
+    // Guards against an upstream that ended without a word and counts as open for ever.
+    void silentUpstreamCloses()
+    {
+        m_gate.onReport(report("i1", 5, 1, UpstreamPhase::Ready), m_now);
+        CPPUNIT_ASSERT(m_gate.open(m_now + UpstreamGate::ReportLifetime) != nullptr);
+        CPPUNIT_ASSERT(m_gate.open(m_now + UpstreamGate::ReportLifetime + seconds(1)) == nullptr);
+    }
+
+    // Guards against any order of two incarnations' reports that ends with the gate open for a leaving one.
+    void orderOfReportsDoesNotMatter()
+    {
+        const std::vector<UpstreamReport> reports{
+            report("i1", 5, 1, UpstreamPhase::Ready), report("i1", 5, 2, UpstreamPhase::Draining),
+            report("i2", 8, 1, UpstreamPhase::Ready), report("i2", 8, 2, UpstreamPhase::Draining)};
+        Random random(11);
+        for (int round = 0; round < 200; ++round) {
+            UpstreamGate gate(ServiceName("bookings"), Address("127.0.0.1:80"));
+            auto order = reports;
+            std::shuffle(order.begin(), order.end(), random);
+            for (const auto &next : order) {
+                gate.onReport(next, m_now);
+                const auto *open = gate.open(m_now);
+                CPPUNIT_ASSERT(open == nullptr || open->report.sequence == 1);
+            }
+            CPPUNIT_ASSERT(gate.open(m_now) == nullptr);
+        }
+    }
+
+private:
+    MonotonicTime m_now{seconds(100)};
+    UpstreamGate m_gate{ServiceName("bookings"), Address("127.0.0.1:80")};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UpstreamGateTest);
+
+} // namespace
+
+} // namespace Geraniumsail
--- /dev/null
+++ b/tests/platform/fleettest.cpp
@@ -0,0 +1,389 @@
+// Tests of whole nodes against stand-ins of the platform's store, its upstreams and its callers.
+#include "fleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Geraniumsail {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::string configuration(int version, const std::string &safeService, const std::string &timeout = "1500ms")
+{
+    return R"({"version":"r)" + std::to_string(version) + R"(","services":[{"name":"books","max_connections":50},
+        {"name":"charts","max_connections":50}],"limits":{},"virtual_hosts":[{"host":"a.example","path_rules":[
+        {"name":"safe","prefix":"/safe/","route_type":"safe","timeout":")"
+        + timeout + R"(","target_latency":"800ms","priority":1,"service":")" + safeService + R"(","max_attempts":2},
+        {"name":"once","prefix":"/once/","route_type":"unsafe","timeout":")"
+        + timeout + R"(","target_latency":"800ms","priority":2,"service":"books","max_attempts":2}]}]})";
+}
+
+class FleetTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FleetTest);
+    CPPUNIT_TEST(requestReachesTheUpstreamOfAnotherNode);
+    CPPUNIT_TEST(withoutConfigurationNothingIsSaidNotToExist);
+    CPPUNIT_TEST(unrepeatableRequestIsSentOnce);
+    CPPUNIT_TEST(shedRequestMovesOnWithinTheBudget);
+    CPPUNIT_TEST(statusThatPromisesNotRunNeedsTheUpstreamsWord);
+    CPPUNIT_TEST(drainingUpstreamGetsNothing);
+    CPPUNIT_TEST(newerConfigurationTakesEffectAndOlderDoesNot);
+    CPPUNIT_TEST(servesOnWhileTheStoreIsDown);
+    CPPUNIT_TEST(revokedEntryReturnsWithinTwoSeconds);
+    CPPUNIT_TEST(lostWriteAnswerDoesNotKeepTheEntryOut);
+    CPPUNIT_TEST(forgottenHistoryIsReadAgain);
+    CPPUNIT_TEST(foreignEntriesAreIgnored);
+    CPPUNIT_TEST(leavingCallerCancelsTheUpstreamsWork);
+    CPPUNIT_TEST(answerAtTheRoutesTimeout);
+    CPPUNIT_TEST(lateExtraAnswerReachesNobody);
+    CPPUNIT_TEST(stopLetsRequestsInFlightEnd);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_loop = std::make_unique<Loop>();
+        m_store = std::make_unique<FakeStore>(m_loop->context);
+        m_client = std::make_unique<HttpClient>(m_loop->context.get_executor(), ClientLimits{});
+        m_books = addNode("books-1", "books");
+        m_charts = addNode("charts-1", "charts");
+    }
+    void tearDown() override
+    {
+        // A node runs to the end of its process and cannot be destroyed before its coroutines, nor after the context
+        // that they run on: it is left behind together with its stopped context.
+        m_loop->context.stop();
+        m_client.release();
+        m_charts.release();
+        m_books.release();
+        m_store.release();
+        m_loop.release();
+    }
+
+    // Guards against a request that loses or keeps what the path between the nodes must change.
+    void requestReachesTheUpstreamOfAnotherNode()
+    {
+        serveAll();
+        auto request = makeRequest(http::verb::post, "/once/a?b=c", "a.example", "payload");
+        request.message.set("Request-Id", "id-1");
+        request.message.set("Deadline-Ms", "900");
+        request.message.set("Caller-Service", "forged");
+        request.message.set("Geraniumsail-Attempt", "forged");
+        const auto answer = send(*m_charts, std::move(request));
+        CPPUNIT_ASSERT_EQUAL(200U, answer.message.result_int());
+        CPPUNIT_ASSERT_EQUAL(std::string("books-1"), answer.message.body());
+        CPPUNIT_ASSERT_EQUAL(std::string("signed"), std::string(fieldValue(answer.message, "Server-Signature")));
+        CPPUNIT_ASSERT(answer.message.count("Geraniumsail-Load") == 0);
+        const auto &seen = m_books->upstream.seen.at(0);
+        CPPUNIT_ASSERT_EQUAL(std::string("id-1"), seen.id);
+        CPPUNIT_ASSERT_EQUAL(std::string("/once/a?b=c"), seen.target);
+        CPPUNIT_ASSERT_EQUAL(std::string("payload"), seen.body);
+        CPPUNIT_ASSERT_EQUAL(std::string("i-books-1"), seen.expectedUpstream);
+        CPPUNIT_ASSERT_EQUAL(std::string("charts"), seen.callerService);
+        const auto left = std::stoi(seen.timeoutMs);
+        CPPUNIT_ASSERT(left > 0 && left <= 900);
+    }
+
+    // Guards against 404 for a route that exists: callers take it as final.
+    void withoutConfigurationNothingIsSaidNotToExist()
+    {
+        const auto answer = get(*m_books, "/safe/");
+        CPPUNIT_ASSERT_EQUAL(503U, answer.message.result_int());
+        CPPUNIT_ASSERT(answer.message.count("Retry-After") == 1);
+        CPPUNIT_ASSERT_EQUAL(503U, ready(*m_books));
+        serveAll();
+        CPPUNIT_ASSERT_EQUAL(200U, ready(*m_books));
+        CPPUNIT_ASSERT_EQUAL(404U, get(*m_books, "/unknown/").message.result_int());
+    }
+
+    // Guards against a booking that runs twice because its first answer was lost.
+    void unrepeatableRequestIsSentOnce()
+    {
+        serveAll();
+        m_books->upstream.behaviour = [](RequestScope &scope) -> asio::awaitable<HttpResponse> {
+            scope.cancellation.cancel(); // The server then closes without an answer.
+            co_return makeResponse(500, "text/plain", "");
+        };
+        const auto answer = send(*m_charts, post("/once/"));
+        CPPUNIT_ASSERT_EQUAL(502U, answer.message.result_int());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_books->upstream.seen.size());
+    }
+
+    // Guards against a repeat beyond the budget, and against "not run" that is wrong.
+    void shedRequestMovesOnWithinTheBudget()
+    {
+        serveAll();
+        m_books->upstream.behaviour = [](RequestScope &) -> asio::awaitable<HttpResponse> {
+            auto response = makeResponse(503, "text/plain", "");
+            response.message.set("Not-Executed", "1");
+            co_return response;
+        };
+        const auto answer = send(*m_charts, post("/once/"));
+        CPPUNIT_ASSERT_EQUAL(503U, answer.message.result_int());
+        CPPUNIT_ASSERT(answer.message.count("Retry-After") == 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_books->upstream.seen.size());
+    }
+
+    void statusThatPromisesNotRunNeedsTheUpstreamsWord()
+    {
+        serveAll();
+        m_books->upstream.behaviour = [](RequestScope &) -> asio::awaitable<HttpResponse> {
+            co_return FakeUpstream::answer(503, "ran and failed");
+        };
+        CPPUNIT_ASSERT_EQUAL(502U, send(*m_charts, post("/once/")).message.result_int());
+        m_books->upstream.behaviour = [](RequestScope &) -> asio::awaitable<HttpResponse> {
+            co_return makeResponse(200, "text/plain", "unsigned");
+        };
+        CPPUNIT_ASSERT_EQUAL(502U, send(*m_charts, post("/once/")).message.result_int());
+    }
+
+    // Guards against new work for an upstream whose leaving was acknowledged, through its own node and others.
+    void drainingUpstreamGetsNothing()
+    {
+        serveAll();
+        m_books->announce(UpstreamPhase::Draining, 2);
+        for (auto *node : {m_books.get(), m_charts.get()}) {
+            const auto answer = send(*node, post("/once/"));
+            CPPUNIT_ASSERT_EQUAL(503U, answer.message.result_int());
+        }
+        m_books->announce(UpstreamPhase::Ready, 3);
+        CPPUNIT_ASSERT_EQUAL(503U, send(*m_charts, post("/once/")).message.result_int());
+        CPPUNIT_ASSERT(m_books->upstream.seen.empty());
+    }
+
+    void newerConfigurationTakesEffectAndOlderDoesNot()
+    {
+        serveAll();
+        CPPUNIT_ASSERT_EQUAL(std::string("books-1"), get(*m_charts, "/safe/").message.body());
+        m_store->put("op/config", configuration(9, "charts"));
+        m_loop->runUntil([&] { return get(*m_books, "/safe/").message.body() == "charts-1"; });
+        m_store->put("op/config", configuration(8, "books"));
+        m_store->put("op/config", "{\"version\":\"r10\"}");
+        m_store->put("op/config", "not json");
+        pause(milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(std::string("charts-1"), get(*m_books, "/safe/").message.body());
+    }
+
+    void servesOnWhileTheStoreIsDown()
+    {
+        serveAll();
+        m_store->refuse = true;
+        pause(milliseconds(2500));
+        CPPUNIT_ASSERT_EQUAL(200U, get(*m_charts, "/safe/").message.result_int());
+        CPPUNIT_ASSERT_EQUAL(200U, ready(*m_charts));
+        m_store->refuse = false;
+        m_store->put("op/config", configuration(9, "charts"));
+        const auto returned = monotonicNow();
+        m_loop->runUntil([&] { return get(*m_books, "/safe/").message.body() == "charts-1"; });
+        CPPUNIT_ASSERT(monotonicNow() - returned < seconds(2));
+    }
+
+    // Guards against an upstream that stays invisible after the store took its entry away.
+    void revokedEntryReturnsWithinTwoSeconds()
+    {
+        serveAll();
+        m_store->revokeLeases();
+        CPPUNIT_ASSERT(!m_store->has("geraniumsail/nodes/books-1"));
+        CPPUNIT_ASSERT_EQUAL(200U, get(*m_charts, "/safe/").message.result_int());
+        const auto revoked = monotonicNow();
+        m_loop->runUntil([&] { return m_store->has("geraniumsail/nodes/books-1"); });
+        CPPUNIT_ASSERT(monotonicNow() - revoked < seconds(2));
+    }
+
+    void lostWriteAnswerDoesNotKeepTheEntryOut()
+    {
+        serveAll();
+        m_store->loseWriteAnswers = 1;
+        m_books->announce(UpstreamPhase::Draining, 2);
+        m_loop->runUntil(
+            [&] { return m_store->valueOf("geraniumsail/nodes/books-1").find("draining") != std::string::npos; });
+        const auto calls = m_store->calls["/kv-txn"];
+        pause(seconds(2));
+        // The node notices that its entry is stored as it should be and writes no more.
+        CPPUNIT_ASSERT(m_store->calls["/kv-txn"] <= calls + 3);
+    }
+
+    void forgottenHistoryIsReadAgain()
+    {
+        serveAll();
+        m_store->put("op/config", configuration(9, "charts"));
+        m_store->compact();
+        m_loop->runUntil([&] { return get(*m_books, "/safe/").message.body() == "charts-1"; });
+    }
+
+    void foreignEntriesAreIgnored()
+    {
+        serveAll();
+        m_store->put("geraniumsail/nodes/odd", "{\"node\":\"odd\"}");
+        m_store->put("geraniumsail/nodes/other", "\xff\xfe");
+        pause(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(200U, get(*m_charts, "/safe/").message.result_int());
+    }
+
+    // Guards against work that goes on for nobody, through both nodes.
+    void leavingCallerCancelsTheUpstreamsWork()
+    {
+        serveAll();
+        auto cancelled = std::make_shared<std::optional<MonotonicTime>>();
+        auto started = std::make_shared<bool>(false);
+        m_books->upstream.behaviour = [this, cancelled, started](RequestScope &scope) -> asio::awaitable<HttpResponse> {
+            *started = true;
+            const auto registration = scope.cancellation.onCancel([cancelled] { *cancelled = monotonicNow(); });
+            asio::steady_timer timer(m_loop->context, seconds(1));
+            co_await timer.async_wait(AsTuple);
+            co_return FakeUpstream::answer(200, "late");
+        };
+        RawConnection caller(m_loop->context);
+        m_loop->run(caller.connect(m_charts->relay.settings().callerListen));
+        m_loop->run(
+            caller.send("GET /safe/ HTTP/1.1\r\nHost: a.example\r\nRequest-Id: x\r\nDeadline-Ms: 1400\r\n\r\n"));
+        m_loop->runUntil([&] { return *started; });
+        const auto closed = monotonicNow();
+        caller.close();
+        m_loop->runUntil([&] { return cancelled->has_value(); });
+        CPPUNIT_ASSERT(**cancelled - closed < milliseconds(500));
+    }
+
+    void answerAtTheRoutesTimeout()
+    {
+        m_timeout = "300ms";
+        serveAll();
+        m_books->upstream.behaviour = [this](RequestScope &) -> asio::awaitable<HttpResponse> {
+            asio::steady_timer timer(m_loop->context, seconds(2));
+            co_await timer.async_wait(AsTuple);
+            co_return FakeUpstream::answer(200, "late");
+        };
+        const auto begun = monotonicNow();
+        CPPUNIT_ASSERT_EQUAL(504U, send(*m_charts, post("/once/")).message.result_int());
+        const auto took = monotonicNow() - begun;
+        CPPUNIT_ASSERT(took >= milliseconds(300) && took < milliseconds(800));
+    }
+
+    // Guards against a second answer on a kept connection that is given to the next request.
+    void lateExtraAnswerReachesNobody()
+    {
+        serveAll();
+        int count = 0;
+        m_books->upstream.behaviour = [&count](RequestScope &) -> asio::awaitable<HttpResponse> {
+            auto response = FakeUpstream::answer(200, "answer " + std::to_string(count));
+            if (count++ == 1) {
+                response.message.set("Request-Id", "of-another");
+            }
+            co_return response;
+        };
+        CPPUNIT_ASSERT_EQUAL(std::string("answer 0"), get(*m_charts, "/safe/").message.body());
+        const auto second = get(*m_charts, "/safe/");
+        CPPUNIT_ASSERT(second.message.result_int() >= 500);
+    }
+
+    // Guards against a planned stop that breaks off a request.
+    void stopLetsRequestsInFlightEnd()
+    {
+        serveAll();
+        auto started = std::make_shared<bool>(false);
+        m_books->upstream.behaviour = [this, started](RequestScope &) -> asio::awaitable<HttpResponse> {
+            *started = true;
+            asio::steady_timer timer(m_loop->context, milliseconds(700));
+            co_await timer.async_wait(AsTuple);
+            co_return FakeUpstream::answer(200, "whole");
+        };
+        std::optional<HttpResponse> answer;
+        asio::co_spawn(m_loop->context, sendTo(m_books->relay.settings().callerListen, post("/once/"), answer),
+                       asio::detached);
+        m_loop->runUntil([&] { return *started; });
+        bool ended = false;
+        m_books->relay.beginStop();
+        asio::co_spawn(m_loop->context, m_books->relay.stopped(),
+                       [&ended](const std::exception_ptr &) { ended = true; });
+        CPPUNIT_ASSERT_EQUAL(503U, ready(*m_books));
+        // Another node gets a proof that its request was not delivered.
+        CPPUNIT_ASSERT_EQUAL(503U, send(*m_charts, post("/once/")).message.result_int());
+        m_loop->runUntil([&] { return answer.has_value(); });
+        CPPUNIT_ASSERT_EQUAL(std::string("whole"), answer->message.body());
+        CPPUNIT_ASSERT(!answer->message.keep_alive());
+        m_loop->runUntil([&] { return ended; });
+    }
+
+private:
+    std::unique_ptr<FleetNode> addNode(const std::string &name, const std::string &service)
+    {
+        return std::make_unique<FleetNode>(m_loop->context, m_store->address(), name, service);
+    }
+    /// Publishes a configuration, announces the upstreams, and waits until each node knows both.
+    void serveAll()
+    {
+        m_store->put("op/config", configuration(7, "books", m_timeout));
+        m_books->announce(UpstreamPhase::Ready, 1);
+        m_charts->announce(UpstreamPhase::Ready, 1);
+        m_loop->runUntil([&] { return get(*m_charts, "/safe/").message.result_int() == 200; });
+        m_loop->runUntil([&] { return get(*m_books, "/safe/").message.result_int() == 200; });
+        m_books->upstream.seen.clear();
+        m_charts->upstream.seen.clear();
+    }
+    static HttpRequest post(const std::string &target)
+    {
+        auto request = makeRequest(http::verb::post, target, "a.example", "body");
+        request.message.set("Request-Id", "id-post");
+        request.message.set("Deadline-Ms", "3000");
+        return request;
+    }
+    HttpResponse get(FleetNode &node, const std::string &target)
+    {
+        auto request = makeRequest(http::verb::get, target, "a.example");
+        request.message.set("Request-Id", "id-get");
+        request.message.set("Deadline-Ms", "3000");
+        return send(node, std::move(request));
+    }
+    unsigned ready(FleetNode &node)
+    {
+        return exchange(node.relay.settings().readyListen, makeRequest(http::verb::get, "/ready", "n"))
+            .message.result_int();
+    }
+    HttpResponse send(FleetNode &node, HttpRequest request)
+    {
+        return exchange(node.relay.settings().callerListen, std::move(request));
+    }
+    HttpResponse exchange(const Address &address, HttpRequest request)
+    {
+        std::optional<HttpResponse> answer;
+        m_loop->run(sendTo(address, std::move(request), answer));
+        CPPUNIT_ASSERT(answer.has_value());
+        return std::move(*answer);
+    }
+    asio::awaitable<void> sendTo(Address address, HttpRequest request, std::optional<HttpResponse> &answer)
+    {
+        ExchangeOptions options;
+        options.deadline = monotonicNow() + seconds(10);
+        options.newConnection = true;
+        auto result = co_await m_client->send(address, std::move(request), options);
+        if (result) {
+            answer = std::move(*result);
+        }
+    }
+    void pause(Duration duration)
+    {
+        m_loop->run(sleep(duration));
+    }
+    asio::awaitable<void> sleep(Duration duration)
+    {
+        asio::steady_timer timer(m_loop->context, duration);
+        co_await timer.async_wait(AsTuple);
+    }
+
+    std::unique_ptr<Loop> m_loop;
+    std::unique_ptr<FakeStore> m_store;
+    std::unique_ptr<HttpClient> m_client;
+    std::unique_ptr<FleetNode> m_books;
+    std::unique_ptr<FleetNode> m_charts;
+    std::string m_timeout = "1500ms";
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetTest);
+
+} // namespace
+
+} // namespace Geraniumsail
--- /dev/null
+++ b/tests/relay/eventlogtest.cpp
@@ -0,0 +1,130 @@
+// Tests of the structured log: bounded in lines and bytes, and never waiting for its reader.
+#include "relay/eventlog.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+
+namespace Geraniumsail {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A pipe whose reader reads only when told to.
+class Pipe
+{
+public:
+    Pipe()
+    {
+        CPPUNIT_ASSERT_EQUAL(0, ::pipe(m_ends.data()));
+        ::fcntl(m_ends[0], F_SETFL, O_NONBLOCK);
+    }
+    Pipe(const Pipe &) = delete;
+    Pipe &operator=(const Pipe &) = delete;
+    ~Pipe()
+    {
+        ::close(m_ends[0]);
+        ::close(m_ends[1]);
+    }
+    int writeEnd() const
+    {
+        return m_ends[1];
+    }
+    std::string read() const
+    {
+        std::string text;
+        std::array<char, 65536> block{};
+        ssize_t count = ::read(m_ends[0], block.data(), block.size());
+        while (count > 0) {
+            text.append(block.data(), static_cast<std::size_t>(count));
+            count = ::read(m_ends[0], block.data(), block.size());
+        }
+        return text;
+    }
+
+private:
+    std::array<int, 2> m_ends{};
+};
+
+class EventLogTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(EventLogTest);
+    CPPUNIT_TEST(lineIsReadable);
+    CPPUNIT_TEST(fullPipeCostsLinesAndNotTime);
+    CPPUNIT_TEST(floodIsBoundedAndImportantLinesGoLast);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against values that break a line apart or forge a field.
+    void lineIsReadable()
+    {
+        Pipe pipe;
+        EventLog log(pipe.writeEnd());
+        EventLine line("answered");
+        line.add("id", std::string_view("a b\n\"c\"=d"))
+            .add("took_ms", Duration(milliseconds(12)))
+            .add("n", std::int64_t(3));
+        log.write(EventWeight::Important, line, m_now, WallTime(milliseconds(1500)));
+        log.flush(m_now, WallTime(milliseconds(1500)));
+        CPPUNIT_ASSERT_EQUAL(std::string("time=1.500 event=answered id=\"a b\\x0a\\\"c\\\"=d\" took_ms=12 n=3\n"),
+                             pipe.read());
+    }
+
+    // Guards against a node that stops serving because nobody reads its log.
+    void fullPipeCostsLinesAndNotTime()
+    {
+        Pipe pipe;
+        EventLog log(pipe.writeEnd());
+        const EventLine line = EventLine("x").add("filler", std::string(900, 'f'));
+        for (int i = 0; i < 2000; ++i) {
+            m_now += milliseconds(10);
+            log.write(EventWeight::Important, line, m_now, WallTime{});
+            log.flush(m_now, WallTime{});
+        }
+        CPPUNIT_ASSERT(log.dropped() > 0);
+        const auto text = pipe.read();
+        CPPUNIT_ASSERT(text.size() <= EventLog::BufferLimit);
+        log.flush(m_now, WallTime{});
+        CPPUNIT_ASSERT(pipe.read().find("event=") != std::string::npos);
+    }
+
+    // The load: ten times the budget, one line in ten important. Guards against a log that grows with the load, and
+    // against failures that ordinary answers push out.
+    void floodIsBoundedAndImportantLinesGoLast()
+    {
+        Pipe pipe;
+        EventLog log(pipe.writeEnd());
+        std::string text;
+        for (int i = 0; i < 30000; ++i) {
+            m_now += std::chrono::microseconds(333);
+            const bool important = i % 11 == 0;
+            log.write(important ? EventWeight::Important : EventWeight::Routine,
+                      EventLine(important ? "failure" : "answer"), m_now, WallTime{});
+            log.flush(m_now, WallTime{});
+            text += pipe.read();
+        }
+        const auto lines = static_cast<double>(std::count(text.begin(), text.end(), '\n'));
+        CPPUNIT_ASSERT(lines < EventLog::Burst + 11 * (EventLog::LinesPerSecond + 1));
+        std::size_t failures = 0;
+        for (auto at = text.find("event=failure"); at != std::string::npos; at = text.find("event=failure", at + 1)) {
+            ++failures;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2728), failures);
+        CPPUNIT_ASSERT(text.find("event=log_lines_dropped") != std::string::npos);
+    }
+
+private:
+    MonotonicTime m_now{seconds(100)};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EventLogTest);
+
+} // namespace
+
+} // namespace Geraniumsail
