Tell calls from root requests by their ids; admit roots by the part of their own route

Change: a request is a call if its id extends the id of a request that the upstream beside the node runs. The part learned from calls is kept by the route of the parent. Order of service: urgent roots, calls, other roots. Calls wait at most half of their latency target; a request that cannot end before its deadline is refused. The penalties of distance fell to 15 and 80 ms. Ruled out: the remote address; parts kept by node (chart-pull, which makes no calls, was refused).

--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -34,9 +34,9 @@
 {
 public:
     /// Added to the estimate for another data centre: keeps bytes local until waiting costs more.
-    static constexpr Duration DataCentrePenalty = std::chrono::milliseconds(40);
+    static constexpr Duration DataCentrePenalty = std::chrono::milliseconds(15);
     /// Added for another region: its round trip (40 ms) and the narrow link.
-    static constexpr Duration RegionPenalty = std::chrono::milliseconds(120);
+    static constexpr Duration RegionPenalty = std::chrono::milliseconds(80);
     /// Added for a lapsed entry.
     static constexpr Duration LapsedPenalty = std::chrono::seconds(1);
     /// Some requests go to the candidate whose load report is the oldest: a new upstream in another data centre would
--- a/src/core/rootadmission.cpp
+++ b/src/core/rootadmission.cpp
@@ -11,10 +11,16 @@
 /// the floor in about 6 s.
 constexpr double Decrease = 0.1;
 constexpr double Increase = 0.03;
-/// Share of requests that may wait or be refused before the part falls.
-constexpr double Tolerated = 0.05;
+/// Share of requests that may be refused before the part falls. A root request with eight calls to this service fails
+/// if one of them does.
+constexpr double ToleratedRefusals = 0.01;
+/// Share of refusals at which the part falls at the full rate.
+constexpr double FullRefusals = 0.08;
+/// Share of requests that may wait longer than TargetWait, and the share at which the part falls at the full rate.
+constexpr double ToleratedWaits = 0.2;
+constexpr double FullWaits = 0.7;
 /// Weight of one answer in the part of its route.
-constexpr double AnswerWeight = 0.1;
+constexpr double AnswerWeight = 0.3;
 
 } // namespace
 
@@ -38,9 +44,12 @@
         return;
     }
     m_stepEnd = now + Step;
-    const double bad = m_total == 0 ? 0 : static_cast<double>(m_waited + m_refused) / m_total;
-    if (bad > Tolerated) {
-        m_part = std::max(Floor, m_part * (1 - Decrease * std::min(1.0, bad * 2)));
+    const double total = std::max(1U, m_total);
+    const double byRefusals = (m_refused / total - ToleratedRefusals) / (FullRefusals - ToleratedRefusals);
+    const double byWaits = (m_waited / total - ToleratedWaits) / (FullWaits - ToleratedWaits);
+    const double overload = std::min(1.0, std::max(byRefusals, byWaits));
+    if (overload > 0) {
+        m_part = std::max(Floor, m_part * (1 - Decrease * overload));
     } else {
         m_part = std::min(1.0, m_part + Increase);
     }
@@ -49,23 +58,29 @@
     m_total = 0;
 }
 
+void RoutePart::hear(AdmittedPart part, double weight, MonotonicTime now)
+{
+    const double before = value(now).value();
+    m_part = before + (part.value() - before) * weight;
+    m_at = now;
+}
+
+AdmittedPart RoutePart::value(MonotonicTime now) const
+{
+    const auto age = static_cast<double>((now - m_at).count());
+    const auto remembered = std::exp2(-age / static_cast<double>(HalfLife.count()));
+    return AdmittedPart(1 - (1 - m_part) * remembered);
+}
+
 void RootAdmission::onAnswer(const RouteName &route, AdmittedPart part, MonotonicTime now)
 {
-    auto &heard = m_heard[route];
-    const double before = this->part(route, now).value();
-    heard.part = before + (part.value() - before) * AnswerWeight;
-    heard.at = now;
+    m_parts[route].hear(part, AnswerWeight, now);
 }
 
 AdmittedPart RootAdmission::part(const RouteName &route, MonotonicTime now) const
 {
-    const auto found = m_heard.find(route);
-    if (found == m_heard.end()) {
-        return AdmittedPart(1);
-    }
-    const auto age = static_cast<double>((now - found->second.at).count());
-    const auto weight = std::exp2(-age / static_cast<double>(HalfLife.count()));
-    return AdmittedPart(1 - (1 - found->second.part) * weight);
+    const auto found = m_parts.find(route);
+    return found == m_parts.end() ? AdmittedPart(1) : found->second.value(now);
 }
 
 bool RootAdmission::admit(const RouteRule &rule, double draw, MonotonicTime now) const
--- a/src/core/rootadmission.h
+++ b/src/core/rootadmission.h
@@ -7,7 +7,8 @@
 // Calls are never refused here: their root was admitted.
 //
 // OverloadSignal controls the part at one queue: it falls while requests are refused or wait, and rises slowly
-// otherwise. RootAdmission keeps the part heard for each route and decides.
+// otherwise. RoutePart is a part that was heard for one route and is forgotten without news. RootAdmission keeps one
+// for each route and decides.
 #ifndef GERANIUMSAIL_CORE_ROOTADMISSION_H
 #define GERANIUMSAIL_CORE_ROOTADMISSION_H
 
@@ -49,12 +50,25 @@
     MonotonicTime m_stepEnd;
 };
 
-class RootAdmission
+/// A part learned from answers.
+class RoutePart
 {
 public:
-    /// A part that was heard counts half as much after this time without a new one.
-    static constexpr Duration HalfLife = std::chrono::milliseconds(1500);
+    /// What was heard counts half as much after this time without news.
+    static constexpr Duration HalfLife = std::chrono::milliseconds(3000);
+
+    /// weight: of this answer in the average, 0 to 1.
+    void hear(AdmittedPart part, double weight, MonotonicTime now);
+    AdmittedPart value(MonotonicTime now) const;
+
+private:
+    double m_part = 1;
+    MonotonicTime m_at;
+};
 
+class RootAdmission
+{
+public:
     /// An answer to a request of this route carried a part.
     void onAnswer(const RouteName &route, AdmittedPart part, MonotonicTime now);
     /// The part in force for a route.
@@ -63,12 +77,7 @@
     bool admit(const RouteRule &rule, double draw, MonotonicTime now) const;
 
 private:
-    struct Heard
-    {
-        double part = 1;
-        MonotonicTime at;
-    };
-    std::map<RouteName, Heard> m_heard;
+    std::map<RouteName, RoutePart> m_parts;
 };
 
 } // namespace Geraniumsail
--- a/src/core/workqueue.cpp
+++ b/src/core/workqueue.cpp
@@ -47,7 +47,7 @@
         return OfferVerdict::RefuseWait;
     }
     const auto expiry = std::min(item.deadline, now + item.maxWait);
-    if (now + wait >= item.deadline) {
+    if (now + wait + m_serviceTime >= item.deadline) {
         return OfferVerdict::RefuseDeadline;
     }
     m_waiting[item.workClass].push_back({item, expiry});
--- a/src/relay/entryside.cpp
+++ b/src/relay/entryside.cpp
@@ -26,10 +26,10 @@
 constexpr Duration PeerUnacknowledged = std::chrono::milliseconds(1000);
 /// Nodes asked in turn while none has delivered the request.
 constexpr std::size_t MaxRefusals = 3;
-/// Part of the latency target that a root request may wait in one queue; waiting elsewhere is better than here.
+/// Part of the latency target that a request may wait in one queue. Root requests of the most urgent rank and calls may
+/// wait longer than others: the former are few, and refusing the latter wastes the work of their root requests.
 constexpr double RootWaitPart = 0.25;
-/// Calls may wait longer: refusing one wastes the work of its root request.
-constexpr double CallWaitPart = 0.8;
+constexpr double UrgentWaitPart = 0.5;
 /// Least time that must be left for another attempt.
 constexpr Duration LeastTimeLeft = std::chrono::milliseconds(30);
 /// Retry-After: the least, while a node knows no configuration or upstream, and the most.
@@ -59,6 +59,7 @@
     ServiceName service;
     RequestId id;
     Origin origin = Origin::Root;
+    std::optional<RouteName> parent; ///< Of a call: the route of the request for which it is made.
     MonotonicTime arrived;
     MonotonicTime deadline;
     std::vector<NodeName> tried;
@@ -80,9 +81,6 @@
       m_placement({settings.node, settings.dataCentre, settings.region}), m_budget(settings.retryRatio),
       m_random(std::hash<std::string>()(settings.node.value()))
 {
-    if (const auto endpoint = parseEndpoint(settings.callerListen.value())) {
-        m_ownAddress = endpoint->address();
-    }
 }
 
 bool EntrySide::setRoutes(RouteTable table)
@@ -133,11 +131,12 @@
     if (fieldValue(request.message, m_names.requestId).empty()) {
         co_return refuseUnrouted(request, ErrorKind::BadRequest);
     }
-    auto flight = begin(request, scope);
+    auto flight = begin(request);
     if (!flight) {
         co_return refuseUnrouted(request, ErrorKind::UnknownService);
     }
-    if (flight->origin == Origin::Root && !m_admission.admit(*flight->rule, drawOf(flight->id), flight->arrived)) {
+    const bool isRoot = flight->origin == Origin::Root && m_target.recognizesCalls();
+    if (isRoot && !m_admission.admit(*flight->rule, drawOf(flight->id), flight->arrived)) {
         m_reporter.metrics.countRootRefused();
         co_return ownAnswer(*flight, ErrorKind::EarlyRefusal);
     }
@@ -147,7 +146,7 @@
     co_return finish(*flight, std::move(result));
 }
 
-std::optional<EntrySide::Flight> EntrySide::begin(const HttpRequest &request, const RequestScope &scope)
+std::optional<EntrySide::Flight> EntrySide::begin(const HttpRequest &request)
 {
     const auto &message = request.message;
     Flight flight;
@@ -158,7 +157,8 @@
     }
     flight.service = m_splits.pick(*flight.rule);
     flight.id = RequestId(std::string(fieldValue(message, m_names.requestId)));
-    flight.origin = scope.remote == m_ownAddress ? Origin::Call : Origin::Root;
+    flight.parent = m_target.routeOfParent(flight.id);
+    flight.origin = flight.parent ? Origin::Call : Origin::Root;
     flight.arrived = monotonicNow();
     const auto stated = parseNumber<std::int64_t>(fieldValue(message, m_names.timeoutMs));
     const Duration limit = stated && *stated >= 0 ? Duration(std::chrono::milliseconds(*stated)) : DefaultTimeout;
@@ -215,6 +215,7 @@
     const auto &rule = *flight.rule;
     AttemptContext context;
     context.request = flight.id;
+    context.route = rule.name;
     context.service = flight.service;
     context.upstream = chosen.entry.upstream;
     context.callerService = m_settings.service;
@@ -222,7 +223,8 @@
     context.repeatability = rule.repeatability;
     context.rank = rule.rank;
     context.timeLeft = std::max(Duration(0), flight.deadline - now);
-    context.maxWait = scaled(rule.latencyTarget, flight.origin == Origin::Call ? CallWaitPart : RootWaitPart);
+    const bool mayWaitLonger = flight.origin == Origin::Call || rule.rank == MostUrgentRank;
+    context.maxWait = scaled(rule.latencyTarget, mayWaitLonger ? UrgentWaitPart : RootWaitPart);
     context.version = flight.table->version();
     m_placement.onSent(chosen.entry.node, now);
     if (flight.arrivals == 0 && flight.refusals == 0) {
@@ -301,8 +303,8 @@
     }
     if (result.part) {
         m_admission.onAnswer(flight.rule->name, *result.part, now);
-        if (flight.origin == Origin::Call) {
-            m_target.onCallPart(*result.part);
+        if (flight.parent) {
+            m_target.onCallPart(*flight.parent, *result.part);
         }
     }
     const bool unreachable = result.error == ErrorKind::ConnectFailed || result.error == ErrorKind::Draining
--- a/src/relay/entryside.h
+++ b/src/relay/entryside.h
@@ -61,7 +61,7 @@
 private:
     struct Flight;
 
-    std::optional<Flight> begin(const HttpRequest &request, const RequestScope &scope);
+    std::optional<Flight> begin(const HttpRequest &request);
     boost::asio::awaitable<AttemptResult> attempt(Flight &flight, const KnownEntry &chosen, HttpRequest request,
                                                   Cancellation &cancellation);
     boost::asio::awaitable<AttemptResult> sendToPeer(const Address &peer, const AttemptContext &context,
@@ -88,7 +88,6 @@
     RedeliveryBudget m_budget;
     RootAdmission m_admission;
     Random m_random;
-    boost::asio::ip::address m_ownAddress;
     std::size_t m_active = 0;
 };
 
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -16,7 +16,7 @@
 constexpr std::string_view PartField = "Geraniumsail-Admitted-Part";
 constexpr std::array NodeFields{ContextField, OutcomeField, ReasonField, ArrivedField, LoadField, PartField};
 /// Order of the values in the context field.
-constexpr std::size_t ContextParts = 10;
+constexpr std::size_t ContextParts = 11;
 /// Longest time that a context may state, in milliseconds.
 constexpr std::int64_t MaxTimeLeftMs = 3600L * 1000;
 
@@ -63,6 +63,7 @@
     text += ';' + std::to_string(toMs(context.timeLeft));
     text += ';' + std::to_string(toMs(context.maxWait));
     text += ';' + std::to_string(context.version.value());
+    text += ';' + context.route.value();
     text += ';' + context.request.value();
     message.set(std::string(ContextField), text);
 }
@@ -92,7 +93,8 @@
     context.timeLeft = std::chrono::milliseconds(*timeLeft);
     context.maxWait = std::chrono::milliseconds(*maxWait);
     context.version = ConfigVersion(*version);
-    context.request = RequestId(std::string(parts[9]));
+    context.route = RouteName(std::string(parts[9]));
+    context.request = RequestId(std::string(parts[10]));
     return context;
 }
 
--- a/src/relay/exchange.h
+++ b/src/relay/exchange.h
@@ -37,6 +37,7 @@
 struct AttemptContext
 {
     RequestId request;
+    RouteName route;
     ServiceName service;
     UpstreamId upstream; ///< The only one that may run it; empty for any.
     ServiceName callerService;
--- a/src/relay/targetside.cpp
+++ b/src/relay/targetside.cpp
@@ -26,16 +26,21 @@
 constexpr Duration IdleTime = std::chrono::seconds(3);
 /// Refused connections in a row after which the upstream is taken as ended.
 constexpr int RefusedConnectionLimit = 3;
-/// A part learned from calls loses half of its effect in this time.
-constexpr Duration CallPartHalfLife = std::chrono::milliseconds(1500);
 /// Weight of one call's answer.
 constexpr double CallPartWeight = 0.05;
-/// Order of service: calls hold slots of the services above, so they come first together with the most urgent rank.
-constexpr WorkClass CallClass{0};
+/// Order of service: root requests of the most urgent rank, then calls, because they hold slots of the services above,
+/// then all other root requests by rank.
+constexpr WorkClass UrgentClass{0};
+constexpr WorkClass CallClass{1};
 
 WorkClass classOf(const AttemptContext &context)
 {
-    return context.origin == Origin::Call ? CallClass : WorkClass(context.rank.value());
+    if (context.origin == Origin::Call) {
+        return CallClass;
+    }
+    return context.rank == MostUrgentRank
+        ? UrgentClass
+        : WorkClass(static_cast<std::uint8_t>(CallClass.value() + context.rank.value()));
 }
 
 ErrorKind errorOf(TransferError error)
@@ -141,18 +146,16 @@
     m_queue.setLimit(std::max(1U, limit));
 }
 
-void TargetSide::onCallPart(AdmittedPart part)
+void TargetSide::onCallPart(const RouteName &parent, AdmittedPart part)
 {
-    m_callPart += (part.value() - m_callPart) * CallPartWeight;
-    m_callPartAt = monotonicNow();
+    m_callParts[parent].hear(part, CallPartWeight, monotonicNow());
 }
 
-AdmittedPart TargetSide::part() const
+AdmittedPart TargetSide::part(const RouteName &route) const
 {
-    const auto age = static_cast<double>((monotonicNow() - m_callPartAt).count());
-    const double weight = std::exp2(-age / static_cast<double>(CallPartHalfLife.count()));
-    const double learned = 1 - (1 - m_callPart) * weight;
-    return AdmittedPart(std::min(learned, m_signal.part().value()));
+    const auto learned = m_callParts.find(route);
+    return learned == m_callParts.end() ? m_signal.part()
+                                        : std::min(m_signal.part(), learned->second.value(monotonicNow()));
 }
 
 void TargetSide::tick()
@@ -162,7 +165,7 @@
     m_signal.tick(now);
     startWaiting();
     m_client.closeIdle(now);
-    m_reporter.metrics.setLoad(m_queue.load(), part().value());
+    m_reporter.metrics.setLoad(m_queue.load(), m_signal.part().value());
 }
 
 void TargetSide::wake(const std::vector<WorkId> &ids, std::optional<ErrorKind> reason)
@@ -182,10 +185,10 @@
     wake(m_queue.start(monotonicNow()), std::nullopt);
 }
 
-void TargetSide::addState(AttemptResult &result) const
+void TargetSide::addState(const AttemptContext &context, AttemptResult &result) const
 {
     result.load = m_queue.load();
-    result.part = part();
+    result.part = part(context.route);
 }
 
 AttemptResult TargetSide::refusal(const AttemptContext &context, ErrorKind kind, Duration waited)
@@ -194,7 +197,7 @@
     result.outcome = Outcome::NotRun;
     result.error = kind;
     result.arrived = false;
-    addState(result);
+    addState(context, result);
     m_reporter.metrics.countTargetRefusal(kind);
     const auto load = m_queue.load();
     m_reporter.important(EventLine("target_refused")
@@ -210,6 +213,20 @@
     return result;
 }
 
+std::optional<RouteName> TargetSide::routeOfParent(const RequestId &id)
+{
+    const auto dot = id.value().rfind('.');
+    if (dot == std::string::npos) {
+        return std::nullopt;
+    }
+    const auto parent = m_running.find(RequestId(id.value().substr(0, dot)));
+    if (parent == m_running.end()) {
+        return std::nullopt;
+    }
+    m_recognizesCalls = true;
+    return parent->second;
+}
+
 asio::awaitable<std::optional<ErrorKind>> TargetSide::waitForSlot(const AttemptContext &context, MonotonicTime arrived,
                                                                   Cancellation &cancellation)
 {
@@ -249,6 +266,7 @@
                                                    Cancellation &cancellation)
 {
     const auto arrived = monotonicNow();
+    m_recognizesCalls = m_recognizesCalls || context.origin == Origin::Call;
     const auto *upstream = m_gate.open(arrived);
     const bool wrongInstance =
         upstream != nullptr && !context.upstream.empty() && context.upstream != upstream->report.id;
@@ -277,11 +295,13 @@
         startWaiting();
         co_return refusal(context, *late, now - arrived);
     }
+    m_running.emplace(context.request, context.route);
     auto result = co_await run(context, std::move(request), arrived + context.timeLeft, cancellation);
+    m_running.erase(m_running.find(context.request));
     const bool ran = result.outcome == Outcome::Ran;
     m_queue.finish(ran ? monotonicNow() - now : Duration(0));
     startWaiting();
-    addState(result);
+    addState(context, result);
     co_return result;
 }
 
--- a/src/relay/targetside.h
+++ b/src/relay/targetside.h
@@ -19,6 +19,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <map>
+#include <unordered_map>
 
 namespace Geraniumsail {
 
@@ -41,8 +42,18 @@
     void beginStop();
     /// Expires waiting requests and moves the overload signal; to be called a few times a second.
     void tick();
-    /// The upstream's calls were answered with this part.
-    void onCallPart(AdmittedPart part);
+    /// A call that the upstream made for a request of this route was answered with this part.
+    void onCallPart(const RouteName &parent, AdmittedPart part);
+
+    /// The route of the request that the upstream runs and that this id extends by a dot and more: such an id belongs
+    /// to a call that the upstream makes for it. Nothing for a root request.
+    std::optional<RouteName> routeOfParent(const RequestId &id);
+    /// Whether calls can be told from root requests: ids of calls were seen to extend those of their parents, here or
+    /// by another node.
+    bool recognizesCalls() const
+    {
+        return m_recognizesCalls;
+    }
 
     const UpstreamGate &gate() const
     {
@@ -56,8 +67,8 @@
     {
         return m_queue.load();
     }
-    /// The least of this queue's part and what was learned from the upstream's calls.
-    AdmittedPart part() const;
+    /// The least of this queue's part and what was learned from the calls made for requests of this route.
+    AdmittedPart part(const RouteName &route) const;
     bool isStopping() const
     {
         return m_stopping;
@@ -76,7 +87,7 @@
     void startWaiting();
     void closeGate();
     void updateLimit();
-    void addState(AttemptResult &result) const;
+    void addState(const AttemptContext &context, AttemptResult &result) const;
 
     boost::asio::any_io_executor m_executor;
     const HeaderNames &m_names;
@@ -87,9 +98,10 @@
     UpstreamGate m_gate;
     WorkQueue m_queue;
     OverloadSignal m_signal;
-    double m_callPart = 1;
-    MonotonicTime m_callPartAt;
+    std::map<RouteName, RoutePart> m_callParts; ///< By the route of the parent.
     std::map<WorkId, Waiter *> m_waiters;
+    std::unordered_multimap<RequestId, RouteName> m_running; ///< At the upstream.
+    bool m_recognizesCalls = false;
     std::uint64_t m_nextId = 1;
     double m_shedFactor = 1; ///< Part of the slots in use, lowered while the upstream sheds.
     int m_refusedConnections = 0; ///< In a row.
--- a/tests/relay/exchangetest.cpp
+++ b/tests/relay/exchangetest.cpp
@@ -14,6 +14,7 @@
 {
     AttemptContext context;
     context.request = RequestId("9c41d07be2a35f68");
+    context.route = RouteName("r-1");
     context.service = ServiceName("bookings");
     context.upstream = UpstreamId("i-7f3a91c2");
     context.callerService = ServiceName("berths");
@@ -45,7 +46,8 @@
         writeContext(context, message);
         const auto read = readContext(message);
         CPPUNIT_ASSERT(read.has_value());
-        CPPUNIT_ASSERT(read->request == context.request && read->service == context.service);
+        CPPUNIT_ASSERT(read->request == context.request && read->route == context.route
+                       && read->service == context.service);
         CPPUNIT_ASSERT(read->upstream == context.upstream && read->callerService == context.callerService);
         CPPUNIT_ASSERT(read->origin == context.origin && read->repeatability == context.repeatability);
         CPPUNIT_ASSERT(read->rank == context.rank && read->timeLeft == context.timeLeft);
@@ -57,8 +59,8 @@
     {
         HttpRequestMessage message;
         CPPUNIT_ASSERT(!readContext(message));
-        for (const auto *text : {"", ";;;;;;;;;", "s;i;c;root;once;0;-5;10;1;r", "s;i;c;root;once;0;5;x;1;r",
-                                 "s;i;c;root;once;999;5;5;1;r", "s;i;c;root;once;0;5;5;1"}) {
+        for (const auto *text : {"", ";;;;;;;;;;", "s;i;c;root;once;0;-5;10;1;n;r", "s;i;c;root;once;0;5;x;1;n;r",
+                                 "s;i;c;root;once;999;5;5;1;n;r", "s;i;c;root;once;0;5;5;1;n"}) {
             message.set("Geraniumsail-Attempt", text);
             CPPUNIT_ASSERT(!readContext(message));
         }
