Spend repeats where they cost one arrival; price distance by bytes; hold learned parts for a second

Change: half of the ratio of repeats goes to services without calls, 0.4 to the levels above. Shed answers do not lower the limit. The penalty of distance grows with the expected size of both bodies.

--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -21,6 +21,7 @@
 constexpr Duration SuspectPenalty = std::chrono::seconds(10);
 /// The second-best candidate is taken at times if its estimate is within this factor of the best.
 constexpr double CloseFactor = 1.25;
+constexpr std::int64_t BytesPerKilobyte = 1000;
 
 double decay(Duration age, Duration halfLife)
 {
@@ -33,12 +34,13 @@
 {
 }
 
-Duration Placement::distance(const DirectoryEntry &entry) const
+Duration Placement::distance(const DirectoryEntry &entry, ByteCount bytes) const
 {
     if (entry.node == m_own.node || entry.dataCentre == m_own.dataCentre) {
         return Duration(0);
     }
-    return entry.region == m_own.region ? DataCentrePenalty : RegionPenalty;
+    const auto byBytes = KilobytePenalty * static_cast<std::int64_t>(bytes.value()) / BytesPerKilobyte;
+    return byBytes + (entry.region == m_own.region ? DataCentrePenalty : RegionPenalty);
 }
 
 double Placement::failureRate(const Observed &observed, MonotonicTime now) const
@@ -46,9 +48,9 @@
     return observed.failureRate * decay(now - observed.failureAt, FailureHalfLife);
 }
 
-Duration Placement::estimate(const KnownEntry &candidate, MonotonicTime now) const
+Duration Placement::estimate(const KnownEntry &candidate, ByteCount bytes, MonotonicTime now) const
 {
-    auto total = distance(candidate.entry);
+    auto total = distance(candidate.entry, bytes);
     if (candidate.lapsedAt) {
         total += LapsedPenalty;
     }
@@ -90,7 +92,8 @@
 }
 
 const KnownEntry *Placement::pick(const std::vector<const KnownEntry *> &candidates,
-                                  const std::vector<NodeName> &excluded, MonotonicTime now, Random &random) const
+                                  const std::vector<NodeName> &excluded, ByteCount bytes, MonotonicTime now,
+                                  Random &random) const
 {
     std::uniform_real_distribution<double> uniform(0, 1);
     if (excluded.empty() && uniform(random) < ExploredPart) {
@@ -112,7 +115,7 @@
         if (std::find(excluded.begin(), excluded.end(), candidate->entry.node) != excluded.end()) {
             continue;
         }
-        auto time = estimate(*candidate, now);
+        auto time = estimate(*candidate, bytes, now);
         const auto found = m_observed.find(candidate->entry.node);
         const double excess = found == m_observed.end() ? 0 : failureRate(found->second, now) - average - FailureMargin;
         if (excess > 0) {
@@ -129,7 +132,7 @@
         }
     }
     // Chance must not move requests to another data centre.
-    if (second == nullptr || distance(second->entry) != distance(best->entry)) {
+    if (second == nullptr || distance(second->entry, bytes) != distance(best->entry, bytes)) {
         return best;
     }
     const auto ratio =
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -33,10 +33,13 @@
 class Placement
 {
 public:
-    /// Added to the estimate for another data centre: keeps bytes local until waiting costs more.
-    static constexpr Duration DataCentrePenalty = std::chrono::milliseconds(15);
+    /// Added to the estimate for another data centre: the round trip and the heads of the messages.
+    static constexpr Duration DataCentrePenalty = std::chrono::milliseconds(12);
     /// Added for another region: its round trip (40 ms) and the narrow link.
-    static constexpr Duration RegionPenalty = std::chrono::milliseconds(80);
+    static constexpr Duration RegionPenalty = std::chrono::milliseconds(70);
+    /// Added for each kilobyte of bodies that leaves the data centre. Bytes between data centres are paid for: 5 kB
+    /// cost the users as much as one request in eight that is not served.
+    static constexpr Duration KilobytePenalty = std::chrono::milliseconds(8);
     /// Added for a lapsed entry.
     static constexpr Duration LapsedPenalty = std::chrono::seconds(1);
     /// Some requests go to the candidate whose load report is the oldest: a new upstream in another data centre would
@@ -54,8 +57,9 @@
     explicit Placement(PlacementPlace own);
 
     /// The best of candidates without those in excluded; null if none is left.
+    /// bytes: expected size of both bodies.
     const KnownEntry *pick(const std::vector<const KnownEntry *> &candidates, const std::vector<NodeName> &excluded,
-                           MonotonicTime now, Random &random) const;
+                           ByteCount bytes, MonotonicTime now, Random &random) const;
     void onSent(const NodeName &node, MonotonicTime now);
     /// The exchange ended. failed: the upstream did not do the work although it was sent there.
     void onEnded(const NodeName &node, bool failed, MonotonicTime now);
@@ -68,8 +72,8 @@
     void forget(const NodeName &node);
 
     /// Estimated time until the answer of a request that is sent now.
-    Duration estimate(const KnownEntry &candidate, MonotonicTime now) const;
-    Duration distance(const DirectoryEntry &entry) const;
+    Duration estimate(const KnownEntry &candidate, ByteCount bytes, MonotonicTime now) const;
+    Duration distance(const DirectoryEntry &entry, ByteCount bytes) const;
 
 private:
     struct Observed
--- a/src/core/redeliverybudget.cpp
+++ b/src/core/redeliverybudget.cpp
@@ -4,30 +4,36 @@
 
 namespace Geraniumsail {
 
-RedeliveryBudget::RedeliveryBudget(double ratio) : m_earned(ratio * UsedPart / CallLevels)
+RedeliveryBudget::RedeliveryBudget(double ratio) : m_ratio(ratio)
 {
 }
 
 void RedeliveryBudget::onFirstDelivery(const ServiceName &service)
 {
-    auto &tokens = m_tokens[service];
-    tokens = std::min(Burst, tokens + m_earned);
+    auto &bucket = m_buckets[service];
+    const double part = bucket.makesCalls ? UpperPart / UpperLevels : LeafPart;
+    bucket.tokens = std::min(Burst, bucket.tokens + m_ratio * part);
+}
+
+void RedeliveryBudget::setMakesCalls(const ServiceName &service, bool makesCalls)
+{
+    m_buckets[service].makesCalls = makesCalls;
 }
 
 bool RedeliveryBudget::take(const ServiceName &service)
 {
-    const auto tokens = m_tokens.find(service);
-    if (tokens == m_tokens.end() || tokens->second < 1) {
+    const auto bucket = m_buckets.find(service);
+    if (bucket == m_buckets.end() || bucket->second.tokens < 1) {
         return false;
     }
-    tokens->second -= 1;
+    bucket->second.tokens -= 1;
     return true;
 }
 
 double RedeliveryBudget::left(const ServiceName &service) const
 {
-    const auto tokens = m_tokens.find(service);
-    return tokens == m_tokens.end() ? 0 : tokens->second;
+    const auto bucket = m_buckets.find(service);
+    return bucket == m_buckets.end() ? 0 : bucket->second.tokens;
 }
 
 } // namespace Geraniumsail
--- a/src/core/redeliverybudget.h
+++ b/src/core/redeliverybudget.h
@@ -1,9 +1,10 @@
 // Bounds the requests that this node sends to a second upstream, for each service.
 //
 // The fleet must keep the repeats of a service in any window below a share of its requests plus a fixed slack. Nodes do
-// not coordinate: each may repeat a share of the first deliveries it made itself, with a burst of one. A repeat of a
-// request near the root of a call tree repeats all calls below it, so the share of one node is a fraction of the
-// fleet's: with four levels, each level may add one quarter of half of it.
+// not coordinate: each may repeat a share of the first deliveries it made itself, with a small burst. A repeat of a
+// request near the root of a call tree repeats all calls below it, so the service at the end of the tree sees the
+// repeats of every level. Half of the fleet's share goes to services whose upstreams make no calls, where a repeat
+// costs one arrival; the levels above divide a part of the rest.
 //
 // A bucket starts empty and earns from first deliveries only, so a node that just started, and a fleet that just lost
 // its memory, repeats nothing.
@@ -20,10 +21,12 @@
 class RedeliveryBudget
 {
 public:
-    /// Levels of calls over which the fleet's ratio is divided; deeper call trees are not known on these deployments.
-    static constexpr double CallLevels = 4;
-    /// Part of the fleet's ratio that is used; the rest covers repeats that sit in two windows.
-    static constexpr double UsedPart = 0.6;
+    /// Part of the fleet's ratio for services without calls.
+    static constexpr double LeafPart = 0.5;
+    /// Part for all levels above, and their number; deeper call trees are not known on these deployments. The rest of
+    /// the ratio covers repeats that fall into two windows.
+    static constexpr double UpperPart = 0.4;
+    static constexpr double UpperLevels = 3;
     /// Tokens that a bucket holds at most.
     static constexpr double Burst = 2;
 
@@ -31,13 +34,21 @@
     explicit RedeliveryBudget(double ratio);
 
     void onFirstDelivery(const ServiceName &service);
+    /// Whether upstreams of the service make calls; assumed until told otherwise.
+    void setMakesCalls(const ServiceName &service, bool makesCalls);
     /// Takes one repeat if the budget has it.
     bool take(const ServiceName &service);
     double left(const ServiceName &service) const;
 
 private:
-    double m_earned;
-    std::map<ServiceName, double> m_tokens;
+    struct Bucket
+    {
+        double tokens = 0;
+        bool makesCalls = true;
+    };
+
+    double m_ratio;
+    std::map<ServiceName, Bucket> m_buckets;
 };
 
 } // namespace Geraniumsail
--- a/src/core/rootadmission.cpp
+++ b/src/core/rootadmission.cpp
@@ -17,8 +17,8 @@
 /// Share of refusals at which the part falls at the full rate.
 constexpr double FullRefusals = 0.08;
 /// Share of requests that may wait longer than TargetWait, and the share at which the part falls at the full rate.
-constexpr double ToleratedWaits = 0.2;
-constexpr double FullWaits = 0.7;
+constexpr double ToleratedWaits = 0.3;
+constexpr double FullWaits = 0.8;
 /// Weight of one answer in the part of its route.
 constexpr double AnswerWeight = 0.3;
 
@@ -67,7 +67,7 @@
 
 AdmittedPart RoutePart::value(MonotonicTime now) const
 {
-    const auto age = static_cast<double>((now - m_at).count());
+    const auto age = static_cast<double>(std::max(Duration(0), now - m_at - HoldTime).count());
     const auto remembered = std::exp2(-age / static_cast<double>(HalfLife.count()));
     return AdmittedPart(1 - (1 - m_part) * remembered);
 }
--- a/src/core/rootadmission.h
+++ b/src/core/rootadmission.h
@@ -28,7 +28,7 @@
     /// Length of one control step; a few requests end in it at the usual service times.
     static constexpr Duration Step = std::chrono::milliseconds(200);
     /// Wait in the queue that counts as overload.
-    static constexpr Duration TargetWait = std::chrono::milliseconds(40);
+    static constexpr Duration TargetWait = std::chrono::milliseconds(60);
     /// Lowest part: keeps enough requests flowing to notice that the overload has ended.
     static constexpr double Floor = 0.1;
 
@@ -54,8 +54,10 @@
 class RoutePart
 {
 public:
-    /// What was heard counts half as much after this time without news.
-    static constexpr Duration HalfLife = std::chrono::milliseconds(3000);
+    /// What was heard counts in full for this time: routes with few requests get an answer about every half second.
+    static constexpr Duration HoldTime = std::chrono::milliseconds(1000);
+    /// After that it counts half as much after each further span of this length.
+    static constexpr Duration HalfLife = std::chrono::milliseconds(2000);
 
     /// weight: of this answer in the average, 0 to 1.
     void hear(AdmittedPart part, double weight, MonotonicTime now);
--- a/src/core/workqueue.cpp
+++ b/src/core/workqueue.cpp
@@ -137,7 +137,7 @@
 
 QueueLoad WorkQueue::load() const
 {
-    return {m_running, m_waitingCount, m_limit, m_serviceTime};
+    return {m_running, m_waitingCount, m_limit, m_serviceTime, true};
 }
 
 } // namespace Geraniumsail
--- a/src/core/workqueue.h
+++ b/src/core/workqueue.h
@@ -44,6 +44,7 @@
     std::uint32_t waiting = 0;
     std::uint32_t limit = 0;
     Duration serviceTime{}; ///< Smoothed.
+    bool makesCalls = true; ///< The upstream may call other services while it runs a request.
 };
 
 class WorkQueue
--- a/src/relay/entryside.cpp
+++ b/src/relay/entryside.cpp
@@ -32,6 +32,8 @@
 constexpr double UrgentWaitPart = 0.5;
 /// Least time that must be left for another attempt.
 constexpr Duration LeastTimeLeft = std::chrono::milliseconds(30);
+/// Weight of one answer in the expected size of a route's answers.
+constexpr double BytesWeight = 0.1;
 /// Retry-After: the least, while a node knows no configuration or upstream, and the most.
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration StartRetryAfter = std::chrono::milliseconds(500);
@@ -63,6 +65,7 @@
     MonotonicTime arrived;
     MonotonicTime deadline;
     std::vector<NodeName> tried;
+    std::uint64_t requestBytes = 0;
     int arrivals = 0; ///< Attempts that an upstream received, or may have.
     std::size_t refusals = 0; ///< Attempts that no upstream received.
     bool mayHaveRun = false; ///< An attempt ran, or its outcome is unknown.
@@ -160,6 +163,7 @@
     flight.parent = m_target.routeOfParent(flight.id);
     flight.origin = flight.parent ? Origin::Call : Origin::Root;
     flight.arrived = monotonicNow();
+    flight.requestBytes = message.body().size();
     const auto stated = parseNumber<std::int64_t>(fieldValue(message, m_names.timeoutMs));
     const Duration limit = stated && *stated >= 0 ? Duration(std::chrono::milliseconds(*stated)) : DefaultTimeout;
     flight.deadline = flight.arrived + std::min(limit, flight.rule->timeout);
@@ -177,11 +181,12 @@
     while (goOn) {
         const auto now = monotonicNow();
         const auto candidates = m_directory.candidates(flight.service);
-        const auto *chosen = m_placement.pick(candidates, flight.tried, now, m_random);
+        const auto *chosen = m_placement.pick(candidates, flight.tried, expectedBytes(flight), now, m_random);
         if (chosen == nullptr) {
             break;
         }
-        flight.leastEstimate = std::min(flight.leastEstimate, m_placement.estimate(*chosen, now));
+        flight.leastEstimate =
+            std::min(flight.leastEstimate, m_placement.estimate(*chosen, expectedBytes(flight), now));
         flight.tried.push_back(chosen->entry.node);
         // The entry may be removed from the directory while the attempt runs.
         const KnownEntry target = *chosen;
@@ -208,6 +213,13 @@
     co_return result;
 }
 
+ByteCount EntrySide::expectedBytes(const Flight &flight) const
+{
+    const auto answer = m_answerBytes.find(flight.rule->name);
+    const double expected = answer == m_answerBytes.end() ? 0 : answer->second;
+    return ByteCount(flight.requestBytes + static_cast<std::uint64_t>(expected));
+}
+
 asio::awaitable<AttemptResult> EntrySide::attempt(Flight &flight, const KnownEntry &chosen, HttpRequest request,
                                                   Cancellation &cancellation)
 {
@@ -300,6 +312,7 @@
     m_placement.onEnded(node, serverFailed || (result.arrived && result.outcome != Outcome::Ran), now);
     if (result.load) {
         m_placement.onLoad(node, *result.load, now);
+        m_budget.setMakesCalls(flight.service, result.load->makesCalls);
     }
     if (result.part) {
         m_admission.onAnswer(flight.rule->name, *result.part, now);
@@ -388,6 +401,8 @@
         }
         return ownAnswer(flight, result.error);
     }
+    auto &expected = m_answerBytes[flight.rule->name];
+    expected += (static_cast<double>(result.response.message.body().size()) - expected) * BytesWeight;
     report(flight, result, result.response.message.result_int());
     removeHopFields(result.response.message);
     return std::move(result.response);
--- a/src/relay/entryside.h
+++ b/src/relay/entryside.h
@@ -69,6 +69,8 @@
     boost::asio::awaitable<AttemptResult> runAttempts(Flight &flight, HttpRequest request, Cancellation &cancellation);
     void learn(const Flight &flight, const KnownEntry &chosen, const AttemptResult &result);
     bool mayTryAgain(Flight &flight, const AttemptResult &result);
+    /// Size of both bodies, the answer's by the answers to earlier requests of the route.
+    ByteCount expectedBytes(const Flight &flight) const;
     HttpResponse finish(const Flight &flight, AttemptResult result);
     HttpResponse ownAnswer(const Flight &flight, ErrorKind kind);
     HttpResponse refuseUnrouted(const HttpRequest &request, ErrorKind kind);
@@ -87,6 +89,7 @@
     Placement m_placement;
     RedeliveryBudget m_budget;
     RootAdmission m_admission;
+    std::map<RouteName, double> m_answerBytes; ///< Smoothed.
     Random m_random;
     std::size_t m_active = 0;
 };
--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -28,7 +28,7 @@
 std::optional<QueueLoad> readLoad(std::string_view text)
 {
     const auto parts = splitText(text, ';');
-    if (parts.size() != 4) {
+    if (parts.size() != 5) {
         return std::nullopt;
     }
     const auto running = parseNumber<std::uint32_t>(parts[0]);
@@ -38,7 +38,7 @@
     if (!running || !waiting || !limit || !serviceTime || *serviceTime < 0) {
         return std::nullopt;
     }
-    return QueueLoad{*running, *waiting, *limit, Duration(*serviceTime)};
+    return QueueLoad{*running, *waiting, *limit, Duration(*serviceTime), parts[4] != "leaf"};
 }
 
 std::optional<AdmittedPart> readPart(std::string_view text)
@@ -111,7 +111,7 @@
         const auto &load = *result.load;
         message.set(std::string(LoadField),
                     std::to_string(load.running) + ';' + std::to_string(load.waiting) + ';' + std::to_string(load.limit)
-                        + ';' + std::to_string(load.serviceTime.count()));
+                        + ';' + std::to_string(load.serviceTime.count()) + (load.makesCalls ? ";calls" : ";leaf"));
     }
     if (result.part) {
         message.set(std::string(PartField), std::to_string(static_cast<int>(result.part->value() * 1000)));
--- a/src/relay/targetside.cpp
+++ b/src/relay/targetside.cpp
@@ -14,10 +14,6 @@
 /// Part of the upstream's slots that is used. Some upstreams slow down when nearly full, and a new connection holds a
 /// slot for a moment.
 constexpr double UsedSlots = 0.95;
-/// Change of the used slots for a shed request, and recovery with each answer.
-constexpr double ShedDecrease = 0.98;
-constexpr double ShedRecovery = 0.002;
-constexpr double LeastShedFactor = 0.5;
 /// Time beyond the deadline that an answer may take: the upstream's own answer at the deadline is better than none.
 constexpr Duration AnswerGrace = std::chrono::milliseconds(100);
 /// A local connection is established in well under a millisecond.
@@ -142,7 +138,7 @@
         return;
     }
     const double slots = known->report.slots.value();
-    const auto limit = static_cast<std::uint32_t>(std::floor(slots * UsedSlots * m_shedFactor));
+    const auto limit = static_cast<std::uint32_t>(std::floor(slots * UsedSlots));
     m_queue.setLimit(std::max(1U, limit));
 }
 
@@ -188,6 +184,7 @@
 void TargetSide::addState(const AttemptContext &context, AttemptResult &result) const
 {
     result.load = m_queue.load();
+    result.load->makesCalls = !m_recognizesCalls || !m_callParts.empty();
     result.part = part(context.route);
 }
 
@@ -361,8 +358,6 @@
     } else if (notExecuted) {
         result.outcome = Outcome::NotRun;
         result.error = ErrorKind::UpstreamShed;
-        m_shedFactor = std::max(LeastShedFactor, m_shedFactor * ShedDecrease);
-        updateLimit();
     } else if (!signedAnswer || promisesNotRun(status)) {
         // Without the signature nothing tells that the upstream made the answer; and a status that promises "not run"
         // without the upstream's word for it must not be passed on.
@@ -371,10 +366,6 @@
     } else {
         result.outcome = Outcome::Ran;
         result.response = std::move(response);
-        if (m_shedFactor < 1) {
-            m_shedFactor = std::min(1.0, m_shedFactor + ShedRecovery);
-            updateLimit();
-        }
         return result;
     }
     m_reporter.important(EventLine("upstream_answer_rejected")
--- a/src/relay/targetside.h
+++ b/src/relay/targetside.h
@@ -103,7 +103,6 @@
     std::unordered_multimap<RequestId, RouteName> m_running; ///< At the upstream.
     bool m_recognizesCalls = false;
     std::uint64_t m_nextId = 1;
-    double m_shedFactor = 1; ///< Part of the slots in use, lowered while the upstream sheds.
     int m_refusedConnections = 0; ///< In a row.
     bool m_stopping = false;
 };
