Make fewer calls to the store: longer entry watches, changes collected for 0.4 s

Change: the configuration is watched for 2.5 s at a time, entries for 8 s; a failure of the first interrupts the second.

--- a/src/relay/storefollower.h
+++ b/src/relay/storefollower.h
@@ -26,9 +26,15 @@
 class StoreFollower
 {
 public:
-    /// A watch is renewed after this time, so that a silent connection is noticed within the time in which a
-    /// configuration must be in force (2.5 s).
-    static constexpr Duration WatchTime = std::chrono::milliseconds(1500);
+    /// The watch of the configuration is renewed after this time, so that a silent connection is noticed within the
+    /// time in which a configuration must be in force after connections were harmed (3 s and 2.5 s).
+    static constexpr Duration ConfigurationWatchTime = std::chrono::milliseconds(2500);
+    /// The watch of entries may be longer, because a failure of the other interrupts it. Each renewal is a call that
+    /// the users pay for, at every node.
+    static constexpr Duration EntriesWatchTime = std::chrono::milliseconds(8000);
+    /// After entries changed, further changes are collected for this time: when a fleet starts, each change would else
+    /// cost one call at every node.
+    static constexpr Duration CollectTime = std::chrono::milliseconds(400);
     /// Lease of the own entry: four renewals may fail. A lost VM is noticed by failed connections much earlier.
     static constexpr Duration LeaseTime = std::chrono::milliseconds(5000);
     static constexpr Duration RenewInterval = std::chrono::milliseconds(1200);
@@ -97,7 +103,7 @@
                     failure = read.error();
                 }
             } else {
-                auto change = co_await m_store.watchConfiguration(*revision, WatchTime);
+                auto change = co_await m_store.watchConfiguration(*revision, ConfigurationWatchTime);
                 if (change) {
                     takeConfiguration(change->value, "watch");
                     revision = change->revision;
@@ -107,6 +113,7 @@
             }
             if (failure) {
                 noteFailure("configuration", *failure);
+                m_store.interruptEntriesWatch();
                 revision.reset();
                 co_await sleep(nextPause(pause));
             } else {
@@ -146,7 +153,7 @@
                     failure = all.error();
                 }
             } else {
-                auto changes = co_await m_store.watchEntries(*revision, WatchTime);
+                auto changes = co_await m_store.watchEntries(*revision, EntriesWatchTime);
                 if (changes) {
                     reportInvalid(changes->invalid);
                     for (const auto &[entry, entryRevision] : changes->entries) {
@@ -156,6 +163,9 @@
                         m_relay.onEntryGone(node, goneRevision);
                     }
                     revision = changes->revision;
+                    if (!changes->entries.empty() || !changes->gone.empty()) {
+                        co_await sleep(CollectTime);
+                    }
                 } else {
                     failure = changes.error();
                 }
