--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -34,7 +34,7 @@
 {
 public:
     /// Added to the estimate for another data centre: the round trip and the heads of the messages.
-    static constexpr Duration DataCentrePenalty = std::chrono::milliseconds(12);
+    static constexpr Duration DataCentrePenalty = std::chrono::milliseconds(40);
     /// Added for another region: its round trip (40 ms) and the narrow link.
     static constexpr Duration RegionPenalty = std::chrono::milliseconds(70);
     /// Added for each kilobyte of bodies that leaves the data centre. Bytes between data centres are paid for: 5 kB
--- a/src/core/rootadmission.cpp
+++ b/src/core/rootadmission.cpp
@@ -20,7 +20,7 @@
 constexpr double ToleratedWaits = 0.3;
 constexpr double FullWaits = 0.8;
 /// Weight of one answer in the part of its route.
-constexpr double AnswerWeight = 0.3;
+constexpr double AnswerWeight = 0.5;
 
 } // namespace
 
--- a/src/relay/targetside.cpp
+++ b/src/relay/targetside.cpp
@@ -23,7 +23,7 @@
 /// Refused connections in a row after which the upstream is taken as ended.
 constexpr int RefusedConnectionLimit = 3;
 /// Weight of one call's answer.
-constexpr double CallPartWeight = 0.05;
+constexpr double CallPartWeight = 0.1;
 /// Order of service: root requests of the most urgent rank, then calls, because they hold slots of the services above,
 /// then all other root requests by rank.
 constexpr WorkClass UrgentClass{0};
