--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -25,7 +25,8 @@
 class HttpClient::Exchange
 {
 public:
-    Exchange(std::unique_ptr<Lease> lease, ExchangeOptions options) : m_lease(std::move(lease)), m_options(options)
+    Exchange(std::unique_ptr<Lease> lease, ExchangeOptions options)
+        : m_lease(std::move(lease)), m_options(std::move(options))
     {
     }
 
@@ -275,7 +276,7 @@
     }
     request.message.version(11);
     request.message.keep_alive(true);
-    Exchange exchange(std::move(lease), options);
+    Exchange exchange(std::move(lease), std::move(options));
     co_return co_await exchange.run(std::move(request));
 }
 
--- a/src/relay/entryside.cpp
+++ b/src/relay/entryside.cpp
@@ -42,8 +42,8 @@
 /// Uniform in [0, 1), the same for all nodes that handle the request.
 double drawOf(const RequestId &id)
 {
-    constexpr double Range = 1U << 24U;
-    return static_cast<double>(std::hash<std::string>()(id.value()) & 0xffffffU) / Range;
+    constexpr double range = 1U << 24U;
+    return static_cast<double>(std::hash<std::string>()(id.value()) & 0xffffffU) / range;
 }
 
 Duration scaled(Duration duration, double factor)
@@ -72,9 +72,9 @@
     Duration leastEstimate = MostRetryAfter;
 };
 
-EntrySide::EntrySide(asio::any_io_executor executor, const HeaderNames &names, const RelaySettings &settings,
+EntrySide::EntrySide(const asio::any_io_executor &executor, const HeaderNames &names, const RelaySettings &settings,
                      TargetSide &target, const Reporter &reporter)
-    : m_executor(executor), m_names(names), m_settings(settings), m_target(target), m_reporter(reporter),
+    : m_names(names), m_settings(settings), m_target(target), m_reporter(reporter),
       m_peers(executor,
               ClientLimits{.idle = PeerIdleTime,
                            .idlePerAddress = 64,
@@ -190,13 +190,10 @@
         flight.tried.push_back(chosen->entry.node);
         // The entry may be removed from the directory while the attempt runs.
         const KnownEntry target = *chosen;
+        const bool streamed = request.rest != nullptr;
         HttpRequest copy;
-        if (request.rest) {
-            copy = std::move(request);
-        } else {
-            copy.message = request.message;
-        }
-        const bool streamed = copy.rest != nullptr;
+        copy.message = request.message;
+        copy.rest = std::move(request.rest);
         result = co_await attempt(flight, target, std::move(copy), cancellation);
         goOn = !streamed && mayTryAgain(flight, result) && !cancellation.isCancelled();
         if (goOn) {
--- a/src/relay/entryside.h
+++ b/src/relay/entryside.h
@@ -27,7 +27,7 @@
 class EntrySide
 {
 public:
-    EntrySide(boost::asio::any_io_executor executor, const HeaderNames &names, const RelaySettings &settings,
+    EntrySide(const boost::asio::any_io_executor &executor, const HeaderNames &names, const RelaySettings &settings,
               TargetSide &target, const Reporter &reporter);
 
     boost::asio::awaitable<HttpResponse> handle(HttpRequest request, RequestScope &scope);
@@ -77,7 +77,6 @@
     Duration retryAfter(const Flight &flight, ErrorKind kind) const;
     void report(const Flight &flight, const AttemptResult &result, unsigned status) const;
 
-    boost::asio::any_io_executor m_executor;
     const HeaderNames &m_names;
     const RelaySettings &m_settings;
     TargetSide &m_target;
--- a/src/relay/targetside.cpp
+++ b/src/relay/targetside.cpp
@@ -79,8 +79,8 @@
     std::optional<ErrorKind> refused;
 };
 
-TargetSide::TargetSide(asio::any_io_executor executor, const HeaderNames &names, ServiceName service, Address upstream,
-                       const Reporter &reporter)
+TargetSide::TargetSide(const asio::any_io_executor &executor, const HeaderNames &names, ServiceName service,
+                       Address upstream, const Reporter &reporter)
     : m_executor(executor), m_names(names), m_service(std::move(service)), m_address(std::move(upstream)),
       m_reporter(reporter),
       m_client(executor, ClientLimits{.idle = IdleTime, .idlePerAddress = 64, .connect = ConnectTimeout}),
--- a/src/relay/targetside.h
+++ b/src/relay/targetside.h
@@ -26,8 +26,8 @@
 class TargetSide
 {
 public:
-    TargetSide(boost::asio::any_io_executor executor, const HeaderNames &names, ServiceName service, Address upstream,
-               const Reporter &reporter);
+    TargetSide(const boost::asio::any_io_executor &executor, const HeaderNames &names, ServiceName service,
+               Address upstream, const Reporter &reporter);
 
     /// Runs one request on the upstream, or says why not. The cancellation must outlive the answer.
     boost::asio::awaitable<AttemptResult> deliver(AttemptContext context, HttpRequest request,
--- a/tests/platform/fleettest.cpp
+++ b/tests/platform/fleettest.cpp
@@ -57,11 +57,11 @@
         // A node runs to the end of its process and cannot be destroyed before its coroutines, nor after the context
         // that they run on: it is left behind together with its stopped context.
         m_loop->context.stop();
-        m_client.release();
-        m_charts.release();
-        m_books.release();
-        m_store.release();
-        m_loop.release();
+        static_cast<void>(m_client.release());
+        static_cast<void>(m_charts.release());
+        static_cast<void>(m_books.release());
+        static_cast<void>(m_store.release());
+        static_cast<void>(m_loop.release());
     }
 
     // Guards against a request that loses or keeps what the path between the nodes must change.
