Make the options of an exchange trivially destructible

Cause: test-net ended with free(): invalid pointer. The options had gained a std::string, and GCC 12 destroys a temporary argument of a coroutine twice if its type has a destructor. The relay passes a named variable and was not affected. Change: the echoed field is a view. test-net: 21 passed.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -25,8 +25,7 @@
 class HttpClient::Exchange
 {
 public:
-    Exchange(std::unique_ptr<Lease> lease, ExchangeOptions options)
-        : m_lease(std::move(lease)), m_options(std::move(options))
+    Exchange(std::unique_ptr<Lease> lease, ExchangeOptions options) : m_lease(std::move(lease)), m_options(options)
     {
     }
 
@@ -276,7 +275,7 @@
     }
     request.message.version(11);
     request.message.keep_alive(true);
-    Exchange exchange(std::move(lease), std::move(options));
+    Exchange exchange(std::move(lease), options);
     co_return co_await exchange.run(std::move(request));
 }
 
--- a/src/net/httpclient.h
+++ b/src/net/httpclient.h
@@ -17,6 +17,7 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <memory>
+#include <string_view>
 
 namespace Geraniumsail {
 
@@ -43,8 +44,9 @@
     /// Accepts an answer without Content-Length and chunks, whose body ends with the connection.
     bool closeDelimited = false;
     /// Header field that the answer must repeat from the request; empty for none. An answer with another value belongs
-    /// to an earlier request: it is dropped, and the connection is not used again.
-    std::string echoField = {};
+    /// to an earlier request: it is dropped, and the connection is not used again. The text must outlive the exchange.
+    /// (A view, because GCC 12 destroys a temporary argument of a coroutine twice if its type has a destructor.)
+    std::string_view echoField = {};
 };
 
 class HttpClient
