--- a/src/core/upstreamdirectory.h
+++ b/src/core/upstreamdirectory.h
@@ -5,8 +5,8 @@
 // detour and never a wrong delivery.
 //
 // An entry whose lease ended is not forgotten at once, because the store may have been away: it is kept as lapsed for
-// LapsedLifetime, used only after confirmed entries that are about as good, and dropped earlier when the node beside the
-// upstream refuses a connection or says that the upstream left.
+// LapsedLifetime, used only after confirmed entries that are about as good, and dropped earlier when the node beside
+// the upstream refuses a connection or says that the upstream left.
 #ifndef GERANIUMSAIL_CORE_UPSTREAMDIRECTORY_H
 #define GERANIUMSAIL_CORE_UPSTREAMDIRECTORY_H
 
