--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -89,9 +89,17 @@
         self.process = await asyncio.create_subprocess_exec(self.soak.program, "--settings", str(self.settings),
                                                             stdout=log, stderr=log)
         log.close()
+        self.ending = False
+        self.soak.tasks.append(asyncio.create_task(self.watch(self.process)))
+
+    async def watch(self, process):
+        code = await process.wait()
+        if not self.ending:
+            self.soak.broken(f"{self.name} ended by itself with code {code}")
 
     async def end(self, number, grace=7):
         """Signals the process and waits for its end; kills it after the grace time."""
+        self.ending = True
         if self.process.returncode is None:
             self.process.send_signal(number)
             try:
@@ -185,7 +193,7 @@
             await node.end(signal.SIGTERM if kind == "term" else signal.SIGKILL)
             await asyncio.sleep(span / 4)
             await node.launch()
-        elif kind == "pause":
+        elif kind == "pause" and node.process.returncode is None:
             node.process.send_signal(signal.SIGSTOP)
             await asyncio.sleep(span)
             node.process.send_signal(signal.SIGCONT)
@@ -231,6 +239,15 @@
         self.busy.discard(node)
 
     async def run(self):
+        try:
+            await self.play()
+        finally:
+            for node in self.nodes:
+                if node.process and node.process.returncode is None:
+                    node.ending = True
+                    node.process.kill()
+
+    async def play(self):
         await self.store.start(self.random)
         self.publish()
         for node in self.nodes:
