Name constants, use the store's shortest lease, log the draw of an early refusal

The lease time honours the store's lower limit, which was read and not used. An early refusal logs the number that was compared with the admitted part.

--- a/src/relay/entryside.cpp
+++ b/src/relay/entryside.cpp
@@ -22,6 +22,8 @@
 constexpr Duration PeerConnectTimeout = std::chrono::milliseconds(400);
 /// Below the idle time of the node's own server (60 s).
 constexpr Duration PeerIdleTime = std::chrono::seconds(20);
+/// Idle connections kept to one node: about as many as one upstream has slots.
+constexpr std::size_t PeerIdleConnections = 64;
 /// Sent bytes without acknowledgement for this long mean a silent connection; a round trip takes 40 ms.
 constexpr Duration PeerUnacknowledged = std::chrono::milliseconds(1000);
 /// Nodes asked in turn while none has delivered the request.
@@ -46,6 +48,14 @@
     return static_cast<double>(std::hash<std::string>()(id.value()) & 0xffffffU) / range;
 }
 
+/// Value of Retry-After: seconds with two decimals.
+std::string secondsText(Duration duration)
+{
+    std::array<char, 16> text{};
+    std::snprintf(text.data(), text.size(), "%.2f", std::chrono::duration<double>(duration).count());
+    return text.data();
+}
+
 Duration scaled(Duration duration, double factor)
 {
     return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
@@ -77,7 +87,7 @@
     : m_names(names), m_settings(settings), m_target(target), m_reporter(reporter),
       m_peers(executor,
               ClientLimits{.idle = PeerIdleTime,
-                           .idlePerAddress = 64,
+                           .idlePerAddress = PeerIdleConnections,
                            .connect = PeerConnectTimeout,
                            .unacknowledged = PeerUnacknowledged}),
       m_routes(std::make_shared<const RouteTable>()),
@@ -114,7 +124,7 @@
 {
     auto response = errorResponse(kind);
     if (kind == ErrorKind::NoUpstream) {
-        response.message.set("Retry-After", "0.5");
+        response.message.set("Retry-After", secondsText(StartRetryAfter));
     }
     m_reporter.metrics.countAnswer(kind);
     m_reporter.important(EventLine("unrouted")
@@ -377,10 +387,7 @@
     if (outcome == Outcome::NotRun) {
         // One status for every proven "not run", so that callers may repeat even what must not run twice.
         message.result(503);
-        std::array<char, 16> seconds{};
-        const auto wait = std::max(LeastRetryAfter, retryAfter(flight, kind));
-        std::snprintf(seconds.data(), seconds.size(), "%.2f", static_cast<double>(wait.count()) / 1e6);
-        message.set("Retry-After", seconds.data());
+        message.set("Retry-After", secondsText(std::max(LeastRetryAfter, retryAfter(flight, kind))));
     }
     AttemptResult result;
     result.outcome = outcome;
@@ -428,7 +435,8 @@
         .add("refusals", std::int64_t(flight.refusals))
         .add("node", flight.tried.empty() ? std::string_view("none") : std::string_view(flight.tried.back().value()))
         .add("config", std::int64_t(flight.table->version().value()))
-        .addNumber("part", m_admission.part(flight.rule->name, monotonicNow()).value());
+        .addNumber("part", m_admission.part(flight.rule->name, monotonicNow()).value())
+        .addNumber("draw", drawOf(flight.id));
     if (ran && status < 500) {
         m_reporter.routine(line);
     } else {
--- a/src/relay/storefollower.h
+++ b/src/relay/storefollower.h
@@ -225,7 +225,7 @@
             }
         }
         if (!m_lease) {
-            const auto lease = co_await m_store.grantLease(LeaseTime);
+            const auto lease = co_await m_store.grantLease(std::max(LeaseTime, m_relay.settings().minLeaseTime));
             if (!lease) {
                 co_return lease.error();
             }
--- a/src/relay/targetside.cpp
+++ b/src/relay/targetside.cpp
@@ -20,6 +20,8 @@
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
 /// Upstreams close idle connections after some seconds, at the soonest about five.
 constexpr Duration IdleTime = std::chrono::seconds(3);
+/// Idle connections kept to the upstream: about as many as it has slots.
+constexpr std::size_t IdleConnections = 64;
 /// Refused connections in a row after which the upstream is taken as ended.
 constexpr int RefusedConnectionLimit = 3;
 /// Weight of one call's answer.
@@ -83,7 +85,7 @@
                        Address upstream, const Reporter &reporter)
     : m_executor(executor), m_names(names), m_service(std::move(service)), m_address(std::move(upstream)),
       m_reporter(reporter),
-      m_client(executor, ClientLimits{.idle = IdleTime, .idlePerAddress = 64, .connect = ConnectTimeout}),
+      m_client(executor, ClientLimits{.idle = IdleTime, .idlePerAddress = IdleConnections, .connect = ConnectTimeout}),
       m_gate(m_service, m_address)
 {
 }
