A refusal by the server of a node is no arrival at the upstream

It refused with proof, but the entry node counted that as an arrival: attempts and budget were spent, and requests ended 503 connection-limit (40 of 374 chart requests in 2 s).

Test (failed first): refusalByTheServerIsNoArrival.

--- a/src/relay/exchange.cpp
+++ b/src/relay/exchange.cpp
@@ -126,7 +126,9 @@
     const auto outcome = outcomeFromLabel(fieldValue(message, OutcomeField));
     result.load = readLoad(fieldValue(message, LoadField));
     result.part = readPart(fieldValue(message, PartField));
-    result.arrived = fieldValue(message, ArrivedField) != "0";
+    const auto arrived = fieldValue(message, ArrivedField);
+    // A refusal by the node's server itself, before any handler saw the request, does not state the field.
+    result.arrived = arrived.empty() ? outcome != Outcome::NotRun : arrived != "0";
     const auto kind = errorKindFromLabel(fieldValue(message, ReasonField));
     if (outcome == Outcome::Ran) {
         result.outcome = Outcome::Ran;
--- a/tests/relay/exchangetest.cpp
+++ b/tests/relay/exchangetest.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(damagedContextIsRefused);
     CPPUNIT_TEST(resultSurvivesTheWire);
     CPPUNIT_TEST(answerWithoutResultIsUnknown);
+    CPPUNIT_TEST(refusalByTheServerIsNoArrival);
     CPPUNIT_TEST(entrySurvivesTheStore);
     CPPUNIT_TEST(damagedEntryIsRefused);
     CPPUNIT_TEST_SUITE_END();
@@ -103,6 +104,15 @@
         CPPUNIT_ASSERT(result.arrived);
     }
 
+    // Guards against a refusal by the server of a node, for too many connections, that counts as an arrival at the
+    // upstream: it would use up the attempts and the budget of the request although nobody received it.
+    void refusalByTheServerIsNoArrival()
+    {
+        const auto result = decodeResult(errorResponse(ErrorKind::ConnectionLimit));
+        CPPUNIT_ASSERT(result.outcome == Outcome::NotRun);
+        CPPUNIT_ASSERT(!result.arrived);
+    }
+
     void entrySurvivesTheStore()
     {
         DirectoryEntry entry;
