Retry-After by the latency target, repeats kept for urgent roots, ages of beliefs in the log

Retry-After now names the latest return that can still be in time; normal repeats leave one token to root requests of the most urgent rank. Nodes keep 16 instead of 64 idle connections to each other. The line of an answer states the estimate behind the placement, the age of its load report and the age of the part.

--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -73,6 +73,15 @@
     return total;
 }
 
+std::optional<Duration> Placement::loadAge(const NodeName &node, MonotonicTime now) const
+{
+    const auto found = m_observed.find(node);
+    if (found == m_observed.end() || found->second.load.limit == 0) {
+        return std::nullopt;
+    }
+    return now - found->second.loadAt;
+}
+
 const KnownEntry *Placement::leastKnown(const std::vector<const KnownEntry *> &candidates, MonotonicTime now) const
 {
     const KnownEntry *oldest = nullptr;
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -19,6 +19,7 @@
 #include "core/workqueue.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace Geraniumsail {
@@ -42,11 +43,7 @@
     static constexpr Duration KilobytePenalty = std::chrono::milliseconds(8);
     /// Added for a lapsed entry.
     static constexpr Duration LapsedPenalty = std::chrono::milliseconds(100);
-    /// Some requests go to the candidate whose load report is the oldest: a new upstream in another data centre would
-    /// else
-    // never be learned about, and never used when it is needed.
-    //
-    // A candidate that refused a connection is used again after this time, or when its entry changes.
+    /// A candidate that refused a connection is used again after this time, or when its entry changes.
     static constexpr Duration SuspectTime = std::chrono::milliseconds(1500);
 
     /// Share of requests that go to a candidate without a recent load report.
@@ -74,6 +71,8 @@
     /// Estimated time until the answer of a request that is sent now.
     Duration estimate(const KnownEntry &candidate, ByteCount bytes, MonotonicTime now) const;
     Duration distance(const DirectoryEntry &entry, ByteCount bytes) const;
+    /// Age of the last load report of a node; nothing if it never sent one.
+    std::optional<Duration> loadAge(const NodeName &node, MonotonicTime now) const;
 
 private:
     struct Observed
--- a/src/core/redeliverybudget.cpp
+++ b/src/core/redeliverybudget.cpp
@@ -8,9 +8,10 @@
 {
 }
 
-void RedeliveryBudget::onFirstDelivery(const ServiceName &service)
+void RedeliveryBudget::onFirstDelivery(const ServiceName &service, RepeatPriority priority)
 {
     auto &bucket = m_buckets[service];
+    bucket.hasUrgent = bucket.hasUrgent || priority == RepeatPriority::Urgent;
     const double part = bucket.makesCalls ? UpperPart / UpperLevels : LeafPart;
     bucket.tokens = std::min(Burst, bucket.tokens + m_ratio * part);
 }
@@ -20,10 +21,14 @@
     m_buckets[service].makesCalls = makesCalls;
 }
 
-bool RedeliveryBudget::take(const ServiceName &service)
+bool RedeliveryBudget::take(const ServiceName &service, RepeatPriority priority)
 {
     const auto bucket = m_buckets.find(service);
-    if (bucket == m_buckets.end() || bucket->second.tokens < 1) {
+    if (bucket == m_buckets.end()) {
+        return false;
+    }
+    const bool leavesReserve = priority == RepeatPriority::Normal && bucket->second.hasUrgent;
+    if (bucket->second.tokens < 1 + (leavesReserve ? UrgentReserve : 0)) {
         return false;
     }
     bucket->second.tokens -= 1;
--- a/src/core/redeliverybudget.h
+++ b/src/core/redeliverybudget.h
@@ -6,6 +6,9 @@
 // repeats of every level. Half of the fleet's share goes to services whose upstreams make no calls, where a repeat
 // costs one arrival; the levels above divide a part of the rest.
 //
+// Calls of one root request are many, and its success needs all of them, while a root request of the most urgent rank
+// needs just one repeat. Where a service gets such root requests, other repeats leave them UrgentReserve.
+//
 // A bucket starts empty and earns from first deliveries only, so a node that just started, and a fleet that just lost
 // its memory, repeats nothing.
 #ifndef GERANIUMSAIL_CORE_REDELIVERYBUDGET_H
@@ -18,6 +21,11 @@
 
 namespace Geraniumsail {
 
+enum class RepeatPriority {
+    Urgent, ///< A root request of the most urgent rank.
+    Normal,
+};
+
 class RedeliveryBudget
 {
 public:
@@ -29,15 +37,17 @@
     static constexpr double UpperLevels = 3;
     /// Tokens that a bucket holds at most.
     static constexpr double Burst = 2;
+    /// Tokens that normal repeats leave.
+    static constexpr double UrgentReserve = 1;
 
     /// ratio: the fleet's bound, repeats per request.
     explicit RedeliveryBudget(double ratio);
 
-    void onFirstDelivery(const ServiceName &service);
+    void onFirstDelivery(const ServiceName &service, RepeatPriority priority);
     /// Whether upstreams of the service make calls; assumed until told otherwise.
     void setMakesCalls(const ServiceName &service, bool makesCalls);
-    /// Takes one repeat if the budget has it.
-    bool take(const ServiceName &service);
+    /// Takes one repeat if the budget has it for this priority.
+    bool take(const ServiceName &service, RepeatPriority priority);
     double left(const ServiceName &service) const;
 
 private:
@@ -45,6 +55,7 @@
     {
         double tokens = 0;
         bool makesCalls = true;
+        bool hasUrgent = false; ///< Gets urgent requests.
     };
 
     double m_ratio;
--- a/src/core/rootadmission.cpp
+++ b/src/core/rootadmission.cpp
@@ -83,6 +83,15 @@
     return found == m_parts.end() ? AdmittedPart(1) : found->second.value(now);
 }
 
+std::optional<Duration> RootAdmission::partAge(const RouteName &route, MonotonicTime now) const
+{
+    const auto found = m_parts.find(route);
+    if (found == m_parts.end()) {
+        return std::nullopt;
+    }
+    return now - found->second.heardAt();
+}
+
 bool RootAdmission::admit(const RouteRule &rule, double draw, MonotonicTime now) const
 {
     // The most urgent rank is ordered by the queues alone.
--- a/src/core/rootadmission.h
+++ b/src/core/rootadmission.h
@@ -7,8 +7,8 @@
 // Calls are never refused here: their root was admitted.
 //
 // OverloadSignal controls the part at one queue: it falls while requests are refused or wait, and rises slowly
-// otherwise. RoutePart is a part that was heard for one route and is forgotten without news. RootAdmission keeps one
-// for each route and decides.
+// otherwise. RoutePart is a part that was heard for one route and is
+// forgotten without news. RootAdmission keeps one for each route and decides.
 #ifndef GERANIUMSAIL_CORE_ROOTADMISSION_H
 #define GERANIUMSAIL_CORE_ROOTADMISSION_H
 
@@ -16,6 +16,7 @@
 #include "core/units.h"
 
 #include <map>
+#include <optional>
 
 namespace Geraniumsail {
 
@@ -62,6 +63,11 @@
     /// weight: of this answer in the average, 0 to 1.
     void hear(AdmittedPart part, double weight, MonotonicTime now);
     AdmittedPart value(MonotonicTime now) const;
+    /// When the last part was heard.
+    MonotonicTime heardAt() const
+    {
+        return m_at;
+    }
 
 private:
     double m_part = 1;
@@ -75,6 +81,8 @@
     void onAnswer(const RouteName &route, AdmittedPart part, MonotonicTime now);
     /// The part in force for a route.
     AdmittedPart part(const RouteName &route, MonotonicTime now) const;
+    /// Age of the part; nothing if none was ever heard.
+    std::optional<Duration> partAge(const RouteName &route, MonotonicTime now) const;
     /// Whether a root request is admitted. draw: uniform in [0, 1), from the request.
     bool admit(const RouteRule &rule, double draw, MonotonicTime now) const;
 
--- a/src/relay/entryside.cpp
+++ b/src/relay/entryside.cpp
@@ -21,9 +21,11 @@
 /// A connection to a node that is up takes at most a round trip between regions (40 ms) and one lost packet.
 constexpr Duration PeerConnectTimeout = std::chrono::milliseconds(400);
 /// Below the idle time of the node's own server (60 s).
-constexpr Duration PeerIdleTime = std::chrono::seconds(20);
-/// Idle connections kept to one node: about as many as one upstream has slots.
-constexpr std::size_t PeerIdleConnections = 64;
+constexpr Duration PeerIdleTime = std::chrono::seconds(10);
+/// Between two passes over all idle connections; each connection costs a system call.
+constexpr Duration CleanInterval = std::chrono::seconds(1);
+/// Idle connections kept to one node. A hundred nodes share the connections that one node accepts.
+constexpr std::size_t PeerIdleConnections = 16;
 /// Sent bytes without acknowledgement for this long mean a silent connection; a round trip takes 40 ms.
 constexpr Duration PeerUnacknowledged = std::chrono::milliseconds(1000);
 /// Nodes asked in turn while none has delivered the request.
@@ -36,10 +38,8 @@
 constexpr Duration LeastTimeLeft = std::chrono::milliseconds(30);
 /// Weight of one answer in the expected size of a route's answers.
 constexpr double BytesWeight = 0.1;
-/// Retry-After: the least, while a node knows no configuration or upstream, and the most.
-constexpr Duration LeastRetryAfter = std::chrono::milliseconds(100);
+/// Retry-After while a node knows no configuration or upstream.
 constexpr Duration StartRetryAfter = std::chrono::milliseconds(500);
-constexpr Duration MostRetryAfter = std::chrono::seconds(2);
 
 /// Uniform in [0, 1), the same for all nodes that handle the request.
 double drawOf(const RequestId &id)
@@ -79,7 +79,8 @@
     int arrivals = 0; ///< Attempts that an upstream received, or may have.
     std::size_t refusals = 0; ///< Attempts that no upstream received.
     bool mayHaveRun = false; ///< An attempt ran, or its outcome is unknown.
-    Duration leastEstimate = MostRetryAfter;
+    Duration estimate{}; ///< Until the answer of the last attempt, as of its choice.
+    std::optional<Duration> loadAge; ///< Of the load report behind the estimate.
 };
 
 EntrySide::EntrySide(const asio::any_io_executor &executor, const HeaderNames &names, const RelaySettings &settings,
@@ -112,7 +113,10 @@
 void EntrySide::tick()
 {
     const auto now = monotonicNow();
-    m_peers.closeIdle(now);
+    if (now >= m_cleanAt) {
+        m_cleanAt = now + CleanInterval;
+        m_peers.closeIdle(now);
+    }
     for (const auto &node : m_directory.prune(now)) {
         m_placement.forget(node);
         m_reporter.important(EventLine("entry_removed").add("node", node.value()).add("reason", "lapsed"));
@@ -195,9 +199,9 @@
         if (chosen == nullptr) {
             break;
         }
-        flight.leastEstimate =
-            std::min(flight.leastEstimate, m_placement.estimate(*chosen, expectedBytes(flight), now));
         flight.tried.push_back(chosen->entry.node);
+        flight.estimate = m_placement.estimate(*chosen, expectedBytes(flight), now);
+        flight.loadAge = m_placement.loadAge(chosen->entry.node, now);
         // The entry may be removed from the directory while the attempt runs.
         const KnownEntry target = *chosen;
         const bool streamed = request.rest != nullptr;
@@ -247,7 +251,7 @@
     context.version = flight.table->version();
     m_placement.onSent(chosen.entry.node, now);
     if (flight.arrivals == 0 && flight.refusals == 0) {
-        m_budget.onFirstDelivery(flight.service);
+        m_budget.onFirstDelivery(flight.service, priorityOf(flight));
     }
     const bool local = chosen.entry.node == m_settings.node;
     AttemptResult result;
@@ -339,6 +343,12 @@
     }
 }
 
+RepeatPriority EntrySide::priorityOf(const Flight &flight)
+{
+    const bool isUrgent = flight.origin == Origin::Root && flight.rule->rank == MostUrgentRank;
+    return isUrgent ? RepeatPriority::Urgent : RepeatPriority::Normal;
+}
+
 bool EntrySide::mayTryAgain(Flight &flight, const AttemptResult &result)
 {
     if (flight.deadline - monotonicNow() < LeastTimeLeft) {
@@ -359,24 +369,19 @@
     if (!(shed || unknown || failedCall) || flight.arrivals >= flight.rule->maxAttempts) {
         return false;
     }
-    if (!m_budget.take(flight.service)) {
+    if (!m_budget.take(flight.service, priorityOf(flight))) {
         m_reporter.metrics.countRetryRefused();
         return false;
     }
     return true;
 }
 
-Duration EntrySide::retryAfter(const Flight &flight, ErrorKind kind) const
+Duration EntrySide::retryAfter(const Flight &flight, ErrorKind kind)
 {
     if (kind == ErrorKind::NoUpstream || kind == ErrorKind::Draining) {
         return StartRetryAfter;
     }
-    if (kind == ErrorKind::EarlyRefusal) {
-        // The admitted part recovers over seconds; the lower it is, the later there is room.
-        const auto part = m_admission.part(flight.rule->name, monotonicNow()).value();
-        return scaled(MostRetryAfter, 1 - part);
-    }
-    return std::clamp(flight.leastEstimate, LeastRetryAfter, MostRetryAfter);
+    return m_returnTime.delay(*flight.rule, m_random);
 }
 
 HttpResponse EntrySide::ownAnswer(const Flight &flight, ErrorKind kind)
@@ -387,7 +392,7 @@
     if (outcome == Outcome::NotRun) {
         // One status for every proven "not run", so that callers may repeat even what must not run twice.
         message.result(503);
-        message.set("Retry-After", secondsText(std::max(LeastRetryAfter, retryAfter(flight, kind))));
+        message.set("Retry-After", secondsText(retryAfter(flight, kind)));
     }
     AttemptResult result;
     result.outcome = outcome;
@@ -405,6 +410,9 @@
         }
         return ownAnswer(flight, result.error);
     }
+    if (result.response.message.result_int() < 300) {
+        m_returnTime.onServed(flight.rule->name, monotonicNow() - flight.arrived);
+    }
     auto &expected = m_answerBytes[flight.rule->name];
     expected += (static_cast<double>(result.response.message.body().size()) - expected) * BytesWeight;
     report(flight, result, result.response.message.result_int());
@@ -414,7 +422,8 @@
 
 void EntrySide::report(const Flight &flight, const AttemptResult &result, unsigned status) const
 {
-    const auto took = monotonicNow() - flight.arrived;
+    const auto now = monotonicNow();
+    const auto took = now - flight.arrived;
     const bool ran = result.outcome == Outcome::Ran;
     m_reporter.metrics.countAnswer(ran ? std::nullopt : std::optional(result.error));
     m_reporter.metrics.observe(Stage::Whole, took);
@@ -430,13 +439,23 @@
         line.add("reason", errorRow(result.error).label);
     }
     line.add("took_ms", took)
-        .add("left_ms", flight.deadline - monotonicNow())
+        .add("left_ms", flight.deadline - now)
         .add("arrivals", std::int64_t(flight.arrivals))
-        .add("refusals", std::int64_t(flight.refusals))
-        .add("node", flight.tried.empty() ? std::string_view("none") : std::string_view(flight.tried.back().value()))
-        .add("config", std::int64_t(flight.table->version().value()))
-        .addNumber("part", m_admission.part(flight.rule->name, monotonicNow()).value())
-        .addNumber("draw", drawOf(flight.id));
+        .add("refusals", std::int64_t(flight.refusals));
+    if (flight.tried.empty()) {
+        line.add("node", "none");
+    } else {
+        line.add("node", flight.tried.back().value()).add("estimate_ms", flight.estimate);
+        if (flight.loadAge) {
+            line.add("load_age_ms", *flight.loadAge);
+        }
+    }
+    line.add("config", std::int64_t(flight.table->version().value()))
+        .addNumber("part", m_admission.part(flight.rule->name, now).value());
+    if (const auto age = m_admission.partAge(flight.rule->name, now)) {
+        line.add("part_age_ms", *age);
+    }
+    line.addNumber("draw", drawOf(flight.id));
     if (ran && status < 500) {
         m_reporter.routine(line);
     } else {
--- a/src/relay/entryside.h
+++ b/src/relay/entryside.h
@@ -13,6 +13,7 @@
 #include "core/placement.h"
 #include "core/random.h"
 #include "core/redeliverybudget.h"
+#include "core/returntime.h"
 #include "core/rootadmission.h"
 #include "core/routetable.h"
 #include "core/upstreamdirectory.h"
@@ -46,6 +47,10 @@
     {
         return m_directory;
     }
+    const UpstreamDirectory &directory() const
+    {
+        return m_directory;
+    }
     Placement &placement()
     {
         return m_placement;
@@ -68,13 +73,14 @@
                                                      HttpRequest request, Cancellation &cancellation);
     boost::asio::awaitable<AttemptResult> runAttempts(Flight &flight, HttpRequest request, Cancellation &cancellation);
     void learn(const Flight &flight, const KnownEntry &chosen, const AttemptResult &result);
+    static RepeatPriority priorityOf(const Flight &flight);
     bool mayTryAgain(Flight &flight, const AttemptResult &result);
     /// Size of both bodies, the answer's by the answers to earlier requests of the route.
     ByteCount expectedBytes(const Flight &flight) const;
     HttpResponse finish(const Flight &flight, AttemptResult result);
     HttpResponse ownAnswer(const Flight &flight, ErrorKind kind);
     HttpResponse refuseUnrouted(const HttpRequest &request, ErrorKind kind);
-    Duration retryAfter(const Flight &flight, ErrorKind kind) const;
+    Duration retryAfter(const Flight &flight, ErrorKind kind);
     void report(const Flight &flight, const AttemptResult &result, unsigned status) const;
 
     const HeaderNames &m_names;
@@ -88,9 +94,11 @@
     Placement m_placement;
     RedeliveryBudget m_budget;
     RootAdmission m_admission;
+    ReturnTime m_returnTime;
     std::map<RouteName, double> m_answerBytes; ///< Smoothed.
     Random m_random;
     std::size_t m_active = 0;
+    MonotonicTime m_cleanAt; ///< Next pass over idle connections.
 };
 
 } // namespace Geraniumsail
--- a/tests/core/directorytest.cpp
+++ b/tests/core/directorytest.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST(failingUpstreamIsAvoidedAndTriedAgain);
     CPPUNIT_TEST(newUpstreamElsewhereIsLearnedAbout);
     CPPUNIT_TEST(budgetNeverExceedsItsShare);
+    CPPUNIT_TEST(callsLeaveUrgentRootsTheirRepeats);
     CPPUNIT_TEST(admittedPartFallsInOverloadAndRecovers);
     CPPUNIT_TEST_SUITE_END();
 
@@ -189,21 +190,50 @@
     void budgetNeverExceedsItsShare()
     {
         RedeliveryBudget budget(0.2);
-        CPPUNIT_ASSERT(!budget.take(Bookings));
+        CPPUNIT_ASSERT(!budget.take(Bookings, RepeatPriority::Normal));
         const ServiceName leaf("leaf");
         budget.setMakesCalls(leaf, false);
         int upper = 0;
         int last = 0;
         for (int i = 0; i < 1000; ++i) {
-            budget.onFirstDelivery(Bookings);
-            upper += budget.take(Bookings) ? 1 : 0;
-            budget.onFirstDelivery(leaf);
-            last += budget.take(leaf) ? 1 : 0;
+            budget.onFirstDelivery(Bookings, RepeatPriority::Normal);
+            upper += budget.take(Bookings, RepeatPriority::Normal) ? 1 : 0;
+            budget.onFirstDelivery(leaf, RepeatPriority::Normal);
+            last += budget.take(leaf, RepeatPriority::Normal) ? 1 : 0;
         }
         CPPUNIT_ASSERT(upper * 3 + last < 200);
         CPPUNIT_ASSERT(upper > 0 && last > upper);
     }
 
+    // The load: a service that rejects half of its requests gets nine calls for each urgent root request. Guards
+    // against calls that use up the budget, although nearly none of their root requests succeeds, while an urgent one
+    // would with a single repeat.
+    void callsLeaveUrgentRootsTheirRepeats()
+    {
+        RedeliveryBudget budget(0.2);
+        budget.setMakesCalls(Bookings, false);
+        int urgentRejected = 0;
+        int urgentRepeated = 0;
+        int repeated = 0;
+        for (int i = 0; i < 2000; ++i) {
+            const auto priority = i % 10 == 0 ? RepeatPriority::Urgent : RepeatPriority::Normal;
+            budget.onFirstDelivery(Bookings, priority);
+            const bool rejected = i % 20 < 10 ? i % 2 == 0 : i % 2 == 1;
+            if (!rejected) {
+                continue;
+            }
+            const bool taken = budget.take(Bookings, priority);
+            repeated += taken ? 1 : 0;
+            if (priority == RepeatPriority::Urgent) {
+                ++urgentRejected;
+                urgentRepeated += taken ? 1 : 0;
+            }
+        }
+        CPPUNIT_ASSERT(urgentRejected >= 100);
+        CPPUNIT_ASSERT(urgentRepeated >= urgentRejected * 95 / 100);
+        CPPUNIT_ASSERT(repeated <= 2000 * 2 / 10);
+    }
+
     // The load: a queue that refuses half of its requests for 3 s, then none. Guards against roots that are admitted
     // only to fail at a deep service, and against a refusal that outlasts the overload.
     void admittedPartFallsInOverloadAndRecovers()
