Follow the configuration from two nodes of the data centre instead of the store

Ruled out: decoding (all nodes of the store's region had it in 60 ms).

In data centres of eight nodes or more two nodes follow the store and the others ask them; a proof older than 1.6 s or a failure sends a node to the store itself. A watch that was cut goes on from its revision. Small sites are unchanged.

--- a/src/core/rendezvous.cpp
+++ b/src/core/rendezvous.cpp
@@ -9,15 +9,13 @@
 
 namespace Geraniumsail {
 
-std::vector<NodeName> chooseByRendezvous(const MemberTable &table, const DataCentreName &dataCentre,
-                                         std::string_view salt, std::size_t count)
+std::vector<NodeName> highestByRendezvous(const std::vector<NodeName> &names, std::string_view salt, std::size_t count)
 {
     const std::uint64_t seed = XXH3_64bits(salt.data(), salt.size());
     std::vector<std::pair<std::uint64_t, const NodeName *>> scores;
-    for (const auto &[name, changed] : table.names(dataCentre)) {
-        if (table.find(name)->state == MemberState::Alive) {
-            scores.emplace_back(XXH3_64bits_withSeed(name.value().data(), name.value().size(), seed), &name);
-        }
+    scores.reserve(names.size());
+    for (const auto &name : names) {
+        scores.emplace_back(XXH3_64bits_withSeed(name.value().data(), name.value().size(), seed), &name);
     }
     const auto last = scores.begin() + static_cast<std::ptrdiff_t>(std::min(count, scores.size()));
     std::partial_sort(scores.begin(), last, scores.end(), std::greater<>());
@@ -28,4 +26,16 @@
     return chosen;
 }
 
+std::vector<NodeName> chooseByRendezvous(const MemberTable &table, const DataCentreName &dataCentre,
+                                         std::string_view salt, std::size_t count)
+{
+    std::vector<NodeName> live;
+    for (const auto &[name, changed] : table.names(dataCentre)) {
+        if (table.find(name)->state == MemberState::Alive) {
+            live.push_back(name);
+        }
+    }
+    return highestByRendezvous(live, salt, count);
+}
+
 } // namespace Geraniumsail
--- a/src/core/rendezvous.h
+++ b/src/core/rendezvous.h
@@ -15,6 +15,9 @@
 
 namespace Geraniumsail {
 
+/// At most count of these names with the highest scores, best first.
+std::vector<NodeName> highestByRendezvous(const std::vector<NodeName> &names, std::string_view salt, std::size_t count);
+
 /// At most count live members of the data centre with the highest scores, best first. Members that are Leaving or
 /// Suspect are passed over.
 std::vector<NodeName> chooseByRendezvous(const MemberTable &table, const DataCentreName &dataCentre,
--- a/src/core/upstreamdirectory.cpp
+++ b/src/core/upstreamdirectory.cpp
@@ -119,6 +119,17 @@
     return found == m_entries.end() ? nullptr : &found->second;
 }
 
+std::vector<NodeName> UpstreamDirectory::nodesIn(const DataCentreName &dataCentre) const
+{
+    std::vector<NodeName> nodes;
+    for (const auto &[node, known] : m_entries) {
+        if (known.entry.dataCentre == dataCentre) {
+            nodes.push_back(node);
+        }
+    }
+    return nodes;
+}
+
 void UpstreamDirectory::unlink(const NodeName &node, const ServiceName &service)
 {
     const auto nodes = m_byService.find(service);
--- a/src/core/upstreamdirectory.h
+++ b/src/core/upstreamdirectory.h
@@ -75,6 +75,8 @@
     /// Entries of a service that may be used, confirmed and lapsed.
     std::vector<const KnownEntry *> candidates(const ServiceName &service) const;
     const KnownEntry *find(const NodeName &node) const;
+    /// All nodes of a data centre, whatever the state of their upstreams.
+    std::vector<NodeName> nodesIn(const DataCentreName &dataCentre) const;
     std::size_t size() const
     {
         return m_entries.size();
--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -24,6 +24,21 @@
 
 } // namespace
 
+boost::asio::awaitable<boost::system::result<std::string, TransferError>> wholeBody(HttpResponse response)
+{
+    std::string text = std::move(response.message.body());
+    bool whole = !response.rest;
+    while (!whole) {
+        auto part = co_await response.rest->next();
+        if (!part) {
+            co_return part.error();
+        }
+        whole = part->empty();
+        text += *part;
+    }
+    co_return text;
+}
+
 HttpResponse makeResponse(unsigned status, std::string_view contentType, std::string body)
 {
     HttpResponse response;
--- a/src/relay/metadatastore.h
+++ b/src/relay/metadatastore.h
@@ -51,6 +51,7 @@
 {
     std::optional<RouteTable> table;
     std::string problem;
+    std::string text; ///< As stored, for other nodes; empty if it cannot be used.
 };
 
 /// Documents in the order of their writing, complete up to revision.
@@ -76,6 +77,9 @@
 concept MetadataStore = requires(Store &store, std::uint64_t revision, Duration duration, LeaseId lease,
                                  const DirectoryEntry &entry)
 {
+    {
+        store.decodeConfiguration(std::string())
+        } -> std::same_as<ConfigurationDocument>;
     {
         store.readConfiguration()
         } -> std::same_as<boost::asio::awaitable<StoreResult<ConfigurationChange>>>;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -19,6 +19,9 @@
 constexpr auto TickInterval = std::chrono::milliseconds(50);
 /// Time kept for closing connections and the last log lines before the process is killed.
 constexpr Duration StopReserve = std::chrono::milliseconds(500);
+/// Connections of other nodes: each of a hundred nodes may keep as many as it does idle, and half of the 3,900 sockets
+/// of a VM remain for its own.
+constexpr std::size_t PeerConnections = 2000;
 /// Pause between two looks at whether the last request has ended.
 constexpr auto StopPoll = std::chrono::milliseconds(50);
 
@@ -65,10 +68,11 @@
     : m_context(context), m_settings(std::move(settings)), m_names(std::move(names)),
       m_log(STDOUT_FILENO), m_reporter{m_log, m_metrics},
       m_target(context.get_executor(), m_names, m_settings.service, m_settings.upstream, m_reporter),
-      m_entry(context.get_executor(), m_names, m_settings, m_target, m_reporter),
+      m_entry(context.get_executor(), m_names, m_settings, m_target, m_reporter), m_feed(context.get_executor()),
+      m_sources(m_settings.node),
       m_callers(context.get_executor(), ServerLimits{},
                 [this](HttpRequest request, RequestScope &scope) { return handleCaller(std::move(request), scope); }),
-      m_peers(context.get_executor(), ServerLimits{},
+      m_peers(context.get_executor(), ServerLimits{.connections = PeerConnections},
               [this](HttpRequest request, RequestScope &scope) { return handlePeer(std::move(request), scope); }),
       m_ready(context.get_executor(), ServerLimits{}, ignoringArguments([this] { return handleReady(); })),
       m_announcements(context.get_executor(), ServerLimits{}, std::move(announcements)),
@@ -128,6 +132,9 @@
 asio::awaitable<HttpResponse> Relay::handlePeer(HttpRequest request, RequestScope &scope)
 {
     auto context = readContext(request.message);
+    if (!context && ConfigurationFeed::isQuestion(request.message)) {
+        co_return co_await m_feed.answer(std::move(request));
+    }
     if (!context) {
         m_reporter.important(EventLine("peer_request_rejected")
                                  .add("reason", "no valid attempt context")
@@ -200,12 +207,15 @@
     return verdict;
 }
 
-bool Relay::onConfiguration(RouteTable table, std::string_view source)
+bool Relay::onConfiguration(RouteTable table, std::string text, std::string_view source)
 {
     const auto before = m_entry.routes().version();
     const auto version = table.version();
     const auto routes = table.size();
     const bool taken = m_entry.setRoutes(std::move(table));
+    if (taken) {
+        m_feed.publish(version, std::move(text));
+    }
     if (taken || version != before) {
         m_reporter.important(EventLine("configuration")
                                  .add("version", static_cast<std::int64_t>(version.value()))
@@ -217,6 +227,29 @@
     return taken;
 }
 
+std::optional<Relay::ConfigurationPeer> Relay::configurationPeer() const
+{
+    const auto members = m_entry.directory().nodesIn(m_settings.dataCentre);
+    const auto node = m_sources.choose(members, monotonicNow());
+    const auto *known = node ? m_entry.directory().find(*node) : nullptr;
+    if (known == nullptr) {
+        return std::nullopt;
+    }
+    return ConfigurationPeer{known->entry.node, known->entry.peer};
+}
+
+bool Relay::readsConfigurationForOthers() const
+{
+    const auto members = m_entry.directory().nodesIn(m_settings.dataCentre);
+    return members.size() >= ConfigurationSources::LeastMembers && m_sources.isReader(members);
+}
+
+void Relay::onConfigurationPeerFailed(const NodeName &node, std::string_view reason)
+{
+    m_sources.onFailed(node, monotonicNow());
+    m_reporter.important(EventLine("configuration_source_failed").add("node", node.value()).add("reason", reason));
+}
+
 std::optional<DirectoryEntry> Relay::ownEntry() const
 {
     const auto &known = m_target.gate().known();
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -6,7 +6,9 @@
 #ifndef GERANIUMSAIL_RELAY_RELAY_H
 #define GERANIUMSAIL_RELAY_RELAY_H
 
+#include "core/configurationsources.h"
 #include "net/httpserver.h"
+#include "relay/configurationfeed.h"
 #include "relay/entryside.h"
 #include "relay/relaysettings.h"
 #include "relay/targetside.h"
@@ -36,8 +38,27 @@
 
     ReportVerdict onUpstreamReport(const UpstreamReport &report);
     ReportVerdict onUpstreamLeave(const UpstreamId &id, std::int64_t startedMs);
-    /// Takes over a newer configuration; false if it is not newer.
-    bool onConfiguration(RouteTable table, std::string_view source);
+    /// Takes over a newer configuration; false if it is not newer. text: the document, for other nodes.
+    bool onConfiguration(RouteTable table, std::string text, std::string_view source);
+    /// Version in force; 0 before the first.
+    ConfigVersion configurationVersion() const
+    {
+        return m_entry.routes().version();
+    }
+    ConfigurationFeed &configurationFeed()
+    {
+        return m_feed;
+    }
+    /// The node from which to follow the configuration; nothing for the store.
+    struct ConfigurationPeer
+    {
+        NodeName node;
+        Address address;
+    };
+    std::optional<ConfigurationPeer> configurationPeer() const;
+    /// Whether other nodes follow the configuration from this one.
+    bool readsConfigurationForOthers() const;
+    void onConfigurationPeerFailed(const NodeName &node, std::string_view reason);
 
     /// The own entry as it should be published; nothing before the first report of the upstream.
     std::optional<DirectoryEntry> ownEntry() const;
@@ -79,6 +100,8 @@
     Reporter m_reporter;
     TargetSide m_target;
     EntrySide m_entry;
+    ConfigurationFeed m_feed;
+    ConfigurationSources m_sources;
     HttpServer m_callers;
     HttpServer m_peers;
     HttpServer m_ready;
--- a/src/relay/storefollower.h
+++ b/src/relay/storefollower.h
@@ -1,5 +1,5 @@
-// Keeps a relay node in step with the platform's store: follows the configuration and the entries of all nodes, and
-// keeps the own entry published under a lease.
+// Keeps a relay node in step with the platform's store: follows the configuration, from the store or from another node,
+// and the entries of all nodes, and keeps the own entry published under a lease.
 //
 // The store may be slow, away, or lose its history, and answers may be lost after a write took effect. Reads are
 // repeated until they succeed; what is known stays in use meanwhile. The own entry is written under the condition that
@@ -29,6 +29,16 @@
     /// The watch of the configuration is renewed after this time, so that a silent connection is noticed within the
     /// time in which a configuration must be in force after connections were harmed (3 s and 2.5 s).
     static constexpr Duration ConfigurationWatchTime = std::chrono::milliseconds(2500);
+    /// The same for a node from which others follow the configuration: its proof must not get too old between two
+    /// answers of the store (ConfigurationSources::MaxProofAge).
+    static constexpr Duration ReaderWatchTime = std::chrono::milliseconds(1000);
+    /// Wait of one question to another node, and the time in which it must be answered beyond that.
+    static constexpr Duration PeerWatchTime = std::chrono::milliseconds(500);
+    static constexpr Duration PeerAnswerTime = std::chrono::milliseconds(300);
+    /// Pause after a node answered at once that it has nothing newer, as one that stops does.
+    static constexpr Duration PeerPause = std::chrono::milliseconds(100);
+    /// A starting node waits so long for the entries that tell whom to ask for the configuration.
+    static constexpr Duration EntriesWait = std::chrono::milliseconds(400);
     /// The watch of entries may be longer, because a failure of the other interrupts it. Each renewal is a call that
     /// the users pay for, at every node.
     static constexpr Duration EntriesWatchTime = std::chrono::milliseconds(8000);
@@ -43,7 +53,8 @@
     static constexpr Duration MostPause = std::chrono::milliseconds(800);
 
     StoreFollower(boost::asio::io_context &context, Store &store, Relay &relay)
-        : m_context(context), m_store(store), m_relay(relay), m_random(std::random_device{}()), m_publishTimer(context)
+        : m_context(context), m_store(store), m_relay(relay), m_random(std::random_device{}()), m_publishTimer(context),
+          m_peers(context.get_executor(), ClientLimits{.connect = PeerAnswerTime})
     {
     }
 
@@ -90,31 +101,23 @@
 
     boost::asio::awaitable<void> followConfiguration()
     {
+        const auto begun = monotonicNow();
+        while (!m_entriesRead && monotonicNow() - begun < EntriesWait) {
+            co_await sleep(LeastPause / 2);
+        }
         Duration pause = LeastPause;
-        std::optional<std::uint64_t> revision;
         while (true) {
-            std::optional<StoreError> failure;
-            if (!revision) {
-                auto read = co_await m_store.readConfiguration();
-                if (read) {
-                    takeConfiguration(read->value, "read");
-                    revision = read->revision;
-                } else {
-                    failure = read.error();
-                }
-            } else {
-                auto change = co_await m_store.watchConfiguration(*revision, ConfigurationWatchTime);
-                if (change) {
-                    takeConfiguration(change->value, "watch");
-                    revision = change->revision;
-                } else {
-                    failure = change.error();
+            if (const auto peer = m_relay.configurationPeer()) {
+                const auto problem = co_await followPeer(*peer);
+                if (!problem.empty()) {
+                    m_relay.onConfigurationPeerFailed(peer->node, problem);
                 }
+                continue;
             }
+            const auto failure = co_await followStore();
             if (failure) {
                 noteFailure("configuration", *failure);
                 m_store.interruptEntriesWatch();
-                revision.reset();
                 co_await sleep(nextPause(pause));
             } else {
                 pause = LeastPause;
@@ -123,18 +126,77 @@
         }
     }
 
-    void takeConfiguration(std::vector<ConfigurationDocument> &documents, std::string_view source)
+    /// Asks another node once. Returns why it cannot be followed; empty if it can.
+    boost::asio::awaitable<std::string> followPeer(Relay::ConfigurationPeer peer)
     {
-        for (auto &document : documents) {
-            if (document.table) {
-                m_relay.onConfiguration(std::move(*document.table), source);
-            } else {
-                m_relay.reporter().important(EventLine("configuration")
-                                                 .add("source", source)
-                                                 .add("verdict", "invalid")
-                                                 .add("reason", document.problem));
+        const auto begun = monotonicNow();
+        ExchangeOptions options;
+        options.deadline = begun + PeerWatchTime + PeerAnswerTime;
+        auto question = ConfigurationFeed::question(peer.address, m_relay.configurationVersion(), PeerWatchTime);
+        auto response = co_await m_peers.send(peer.address, std::move(question), options);
+        if (!response) {
+            m_peers.dropIdle(peer.address);
+            co_return "no answer";
+        }
+        auto answer = co_await ConfigurationFeed::readAnswer(std::move(*response));
+        if (!answer) {
+            co_return "malformed answer";
+        }
+        if (!answer->text.empty()) {
+            auto document = m_store.decodeConfiguration(std::move(answer->text));
+            takeConfiguration(document, peer.node.value());
+            if (!document.problem.empty()) {
+                co_return "invalid configuration";
             }
         }
+        if (!answer->proofAge || *answer->proofAge >= ConfigurationSources::MaxProofAge) {
+            co_return "no recent proof";
+        }
+        const auto now = monotonicNow();
+        m_relay.configurationFeed().prove(now - *answer->proofAge, answer->revision);
+        m_configurationRevision = std::max(m_configurationRevision.value_or(0), answer->revision);
+        if (now - begun < PeerPause) {
+            co_await sleep(PeerPause);
+        }
+        co_return "";
+    }
+
+    /// Reads or watches the configuration in the store once.
+    boost::asio::awaitable<std::optional<StoreError>> followStore()
+    {
+        const bool isWatch = m_configurationRevision.has_value();
+        const auto wait = m_relay.readsConfigurationForOthers() ? ReaderWatchTime : ConfigurationWatchTime;
+        StoreResult<ConfigurationChange> change = StoreError::Unreachable;
+        if (isWatch) {
+            change = co_await m_store.watchConfiguration(*m_configurationRevision, wait);
+        } else {
+            change = co_await m_store.readConfiguration();
+        }
+        if (!change) {
+            // A watch that was cut goes on from the same revision: what is in force need not be read again.
+            if (change.error() == StoreError::HistoryGone || change.error() == StoreError::Malformed) {
+                m_configurationRevision.reset();
+            }
+            co_return change.error();
+        }
+        for (auto &document : change->value) {
+            takeConfiguration(document, isWatch ? "watch" : "read");
+        }
+        m_configurationRevision = change->revision;
+        m_relay.configurationFeed().prove(monotonicNow(), change->revision);
+        co_return std::nullopt;
+    }
+
+    void takeConfiguration(ConfigurationDocument &document, std::string_view source)
+    {
+        if (document.table) {
+            m_relay.onConfiguration(std::move(*document.table), std::move(document.text), source);
+        } else {
+            m_relay.reporter().important(EventLine("configuration")
+                                             .add("source", source)
+                                             .add("verdict", "invalid")
+                                             .add("reason", document.problem));
+        }
     }
 
     boost::asio::awaitable<void> followEntries()
@@ -148,6 +210,8 @@
                 if (all) {
                     reportInvalid(all->invalid);
                     m_relay.onAllEntries(all->entries, all->revision);
+                    m_entriesRead = true;
+                    m_relay.onStoreState(true, "entries", "answered");
                     revision = all->revision;
                 } else {
                     failure = all.error();
@@ -198,9 +262,13 @@
                 const auto failure = co_await publishOnce(*entry);
                 if (failure) {
                     noteFailure("publish", *failure);
+                    if (*failure == StoreError::Unreachable) {
+                        m_store.interruptEntriesWatch();
+                    }
                     next = nextPause(pause);
                 } else {
                     pause = LeastPause;
+                    m_relay.onStoreState(true, "publish", "answered");
                 }
             }
             if (!m_dirty) {
@@ -272,6 +340,9 @@
     Relay &m_relay;
     std::mt19937_64 m_random;
     boost::asio::steady_timer m_publishTimer;
+    HttpClient m_peers; ///< For the configuration of other nodes.
+    std::optional<std::uint64_t> m_configurationRevision; ///< Up to which the configuration is known.
+    bool m_entriesRead = false;
     bool m_dirty = false;
     bool m_left = false;
     std::optional<LeaseId> m_lease;
--- /dev/null
+++ b/tests/platform/configurationtest.cpp
@@ -0,0 +1,184 @@
+// Tests of how the configuration reaches the nodes of a larger data centre.
+#include "fleet.h"
+
+#include "relay/entrycodec.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Geraniumsail {
+
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t FleetSize = 9;
+
+std::string configuration(int version)
+{
+    return R"({"version":"r)" + std::to_string(version) + R"(","services":[{"name":"books","max_connections":50}],
+        "limits":{},"virtual_hosts":[{"host":"a.example","path_rules":[
+        {"name":"safe","prefix":"/safe/","route_type":"safe","timeout":"1500ms","target_latency":"800ms",
+        "priority":1,"service":"books","max_attempts":2}]}]})";
+}
+
+class ConfigurationTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ConfigurationTest);
+    CPPUNIT_TEST(fewNodesReadTheStoreForAll);
+    CPPUNIT_TEST(silentReadersDoNotKeepAVersionBack);
+    CPPUNIT_TEST(storeThatReturnsIsReadByFew);
+    CPPUNIT_TEST(readerWithoutRecentProofSaysSo);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        m_loop = std::make_unique<Loop>();
+        m_store = std::make_unique<FakeStore>(m_loop->context);
+    }
+    void tearDown() override
+    {
+        // As in FleetTest: nodes run to the end of the process.
+        m_loop->context.stop();
+        for (auto &node : m_nodes) {
+            static_cast<void>(node.release());
+        }
+        m_nodes.clear();
+        static_cast<void>(m_store.release());
+        static_cast<void>(m_loop.release());
+    }
+
+    // Guards against store calls, and copies of a large configuration over a narrow link, that grow with every node.
+    void fewNodesReadTheStoreForAll()
+    {
+        startFleet();
+        runFor(seconds(2));
+        m_store->watches.clear();
+        runFor(seconds(3));
+        // Two readers watch for a second each time; nine nodes of their own would make about eleven calls.
+        CPPUNIT_ASSERT(m_store->watches["op/config"] <= 8);
+        const auto begun = monotonicNow();
+        m_store->put("op/config", configuration(8));
+        m_loop->runUntil([&] { return everyoneHas(8); });
+        CPPUNIT_ASSERT(monotonicNow() - begun < seconds(1));
+    }
+
+    // The readers of the data centre accept connections and answer nothing. Guards against a node that is in touch with
+    // the store and yet keeps an old version because of them.
+    void silentReadersDoNotKeepAVersionBack()
+    {
+        m_silent = std::make_unique<asio::ip::tcp::acceptor>(m_loop->context, *parseEndpoint("127.0.0.1:0"));
+        const auto port = std::to_string(m_silent->local_endpoint().port());
+        std::vector<NodeName> members;
+        for (std::size_t i = 0; i < FleetSize; ++i) {
+            DirectoryEntry entry;
+            entry.node = NodeName("silent-" + std::to_string(i));
+            entry.peer = Address("127.0.0.1:" + port);
+            entry.dataCentre = DataCentreName("dc1");
+            entry.region = RegionName("r1");
+            entry.service = ServiceName("charts");
+            entry.upstream = UpstreamId("i-" + entry.node.value());
+            entry.slots = Slots(8);
+            m_store->put("geraniumsail/nodes/" + entry.node.value(), encodeEntry(entry));
+            members.push_back(entry.node);
+        }
+        m_store->put("op/config", configuration(7));
+        std::string name = "books-0";
+        for (int i = 1; ConfigurationSources(NodeName(name)).isReader(members); ++i) {
+            name = "books-" + std::to_string(i);
+        }
+        addNode(name);
+        m_loop->runUntil([&] { return everyoneHas(7); });
+        for (int version = 8; version < 11; ++version) {
+            runFor(milliseconds(700));
+            const auto begun = monotonicNow();
+            m_store->put("op/config", configuration(version));
+            m_loop->runUntil([&] { return everyoneHas(version); });
+            CPPUNIT_ASSERT(monotonicNow() - begun < milliseconds(2500));
+        }
+    }
+
+    // A version is published while the store is away for the nodes. Guards against a version that arrives late
+    // because every node reads it from the returning store at once.
+    void storeThatReturnsIsReadByFew()
+    {
+        startFleet();
+        m_store->refuse = true;
+        runFor(seconds(3));
+        m_store->put("op/config", configuration(8));
+        const auto begun = monotonicNow();
+        m_store->refuse = false;
+        m_loop->runUntil([&] { return everyoneHas(8); });
+        CPPUNIT_ASSERT(monotonicNow() - begun < milliseconds(2500));
+    }
+
+    // Guards against a node that is cut off from the store and keeps others at its version.
+    void readerWithoutRecentProofSaysSo()
+    {
+        ConfigurationFeed feed(m_loop->context.get_executor());
+        feed.publish(ConfigVersion(7), "text");
+        CPPUNIT_ASSERT(!ask(feed, 7).proofAge);
+        feed.prove(monotonicNow() - milliseconds(1500), 40);
+        const auto begun = monotonicNow();
+        const auto answer = ask(feed, 7);
+        CPPUNIT_ASSERT(answer.text.empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(40), answer.revision);
+        // It waits only until the proof is too old.
+        CPPUNIT_ASSERT(answer.proofAge >= ConfigurationSources::MaxProofAge);
+        CPPUNIT_ASSERT(monotonicNow() - begun < milliseconds(400));
+        CPPUNIT_ASSERT_EQUAL(std::string("text"), ask(feed, 6).text);
+    }
+
+private:
+    void addNode(const std::string &name)
+    {
+        m_nodes.push_back(std::make_unique<FleetNode>(m_loop->context, m_store->address(), name, "books"));
+        m_nodes.back()->announce(UpstreamPhase::Ready, 1);
+    }
+    void startFleet()
+    {
+        m_store->put("op/config", configuration(7));
+        for (std::size_t i = 0; i < FleetSize; ++i) {
+            addNode("books-" + std::to_string(i));
+        }
+        m_loop->runUntil([&] { return everyoneHas(7); });
+    }
+    bool everyoneHas(int version) const
+    {
+        return std::all_of(m_nodes.begin(), m_nodes.end(), [version](const auto &node) {
+            return node->relay.configurationVersion() == ConfigVersion(static_cast<std::uint64_t>(version));
+        });
+    }
+    void runFor(Duration time)
+    {
+        const auto end = monotonicNow() + time;
+        m_loop->runUntil([end] { return monotonicNow() >= end; });
+    }
+    FeedAnswer ask(ConfigurationFeed &feed, std::uint64_t after)
+    {
+        std::optional<FeedAnswer> answer;
+        asio::co_spawn(m_loop->context, askInto(feed, after, answer), asio::detached);
+        m_loop->runUntil([&] { return answer.has_value(); });
+        return *answer;
+    }
+    static asio::awaitable<void> askInto(ConfigurationFeed &feed, std::uint64_t after,
+                                         std::optional<FeedAnswer> &answer)
+    {
+        auto question = ConfigurationFeed::question(Address("127.0.0.1:1"), ConfigVersion(after), milliseconds(300));
+        auto response = co_await feed.answer(std::move(question));
+        answer = co_await ConfigurationFeed::readAnswer(std::move(response));
+    }
+
+    std::unique_ptr<Loop> m_loop;
+    std::unique_ptr<FakeStore> m_store;
+    std::unique_ptr<asio::ip::tcp::acceptor> m_silent;
+    std::vector<std::unique_ptr<FleetNode>> m_nodes;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationTest);
+
+} // namespace
+
+} // namespace Geraniumsail
--- a/tests/platform/fakestore.cpp
+++ b/tests/platform/fakestore.cpp
@@ -113,6 +113,7 @@
     if (path == "/kv-watch") {
         const auto after = parseNumber<std::uint64_t>(query["after"]).value_or(0);
         const auto waitMs = parseNumber<int>(query["wait_ms"]).value_or(0);
+        ++watches[query["prefix"]];
         co_return co_await watch(query["prefix"], after, waitMs);
     }
     if (path == "/kv-txn") {
--- a/tests/platform/fakestore.h
+++ b/tests/platform/fakestore.h
@@ -39,6 +39,7 @@
     bool refuse = false; ///< Answers 503 to everything.
     int loseWriteAnswers = 0; ///< So many next writes are done and not answered in time.
     std::map<std::string, int> calls; ///< By path.
+    std::map<std::string, int> watches; ///< By prefix.
 
 private:
     struct Item
