Command explain: from a request's id to what decided it, by the logs of the nodes

Joins the lines of all nodes about a request and its calls into one timeline, names the deciding input of the outcome, as text or JSON; unreadable and cut lines are counted, an unknown id is an error with exit code 1.

--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -9,7 +9,7 @@
 failed=0
 for program in "$sanitized/tests/test-core" "$sanitized/tests/test-config" "$build/tests/test-core" \
     "$build/tests/test-config" "$build/tests/test-rpc" "$build/tests/test-net" "$build/tests/test-node" \
-    "$build/tests/test-relay" "$build/tests/test-platform"; do
+    "$build/tests/test-relay" "$build/tests/test-platform" "$build/tests/test-cli"; do
     [ -x "$program" ] || { echo "missing test program: $program"; failed=$((failed + 1)); continue; }
     echo "== $program"
     output=$("$program" 2>&1)
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -29,6 +29,8 @@
 int show(const std::optional<std::string> &service, const Address &store, bool json);
 int status(const std::vector<Address> &nodes, bool json);
 int refusals(const std::vector<Address> &nodes, bool json);
+/// Prints the timeline of a request from logs of nodes, or from standard input if logs is empty.
+int explain(const std::string &requestId, const std::vector<std::string> &logs, bool json);
 
 } // namespace Geraniumsail::Cli
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -16,6 +16,7 @@
   geraniumsail show [SERVICE] --store ADDRESS [--json]
   geraniumsail status (--node ADDRESS)... [--json]
   geraniumsail refusals (--node ADDRESS)... [--json]
+  geraniumsail explain ID [(--log FILE)...] [--json]
   geraniumsail --help
   geraniumsail --version
 
@@ -26,10 +27,12 @@
   show      List the published documents, or print one.
   status    What nodes have in force, and which members they see.
   refusals  What nodes refuse, and why.
+  explain   What happened to a request, and what decided it, by the logs of nodes; standard input without --log.
 
 Options:
   --store ADDRESS  The platform's store, as IPv4 address and port.
   --node ADDRESS   Admin listener of a node; may be repeated.
+  --log FILE       Log of one or more nodes; may be repeated.
   --accept         Record the published versions as seen, so that the next publish replaces them.
   --overwrite      Publish even over changes that were not seen.
   --json           Print JSON.
@@ -69,6 +72,9 @@
     if (arguments.at("refusals").asBool()) {
         return Cli::refusals(nodesOf(arguments), json);
     }
+    if (arguments.at("explain").asBool()) {
+        return Cli::explain(arguments.at("ID").asString(), arguments.at("--log").asStringList(), json);
+    }
     const auto store = addressOf("--store", arguments.at("--store").asString());
     if (arguments.at("show").asBool()) {
         const auto &service = arguments.at("SERVICE");
