--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -32,13 +32,20 @@
 SERVICES = ["books", "charts"]
 RECOVERY_SECONDS = 5
 ATTEMPT_SECONDS = 3
+PORTS = iter(range(10000, 32000))
 
 
 def free_address(host):
-    """A port of an address that belongs to this run alone, so that runs side by side cannot take each other's ports."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()
+    """A port of an address that belongs to this run alone, so that runs side by side cannot take each other's ports. It
+    lies below the range from which the system takes ports for outgoing connections: a node that connects to another one
+    could else take the port of a third that is not started yet."""
+    for port in PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                continue
+            return probe.getsockname()
 
 
 def text(address):
