--- a/platform/fields.h
+++ b/src/config/jsonfields.h
@@ -1,6 +1,7 @@
-// Typed access to the platform's JSON bodies. An accessor returns nothing unless the field has the expected type.
-#ifndef GERANIUMSAIL_PLATFORM_FIELDS_H
-#define GERANIUMSAIL_PLATFORM_FIELDS_H
+// Typed access to JSON objects written by other programs. An accessor returns nothing unless the field has the expected
+// type and is in range, so that a decoder never converts a value that another writer chose freely.
+#ifndef GERANIUMSAIL_CONFIG_JSONFIELDS_H
+#define GERANIUMSAIL_CONFIG_JSONFIELDS_H
 
 #include <nlohmann/json.hpp>
 
@@ -8,7 +9,7 @@
 #include <optional>
 #include <string>
 
-namespace Geraniumsail::Platform {
+namespace Geraniumsail {
 
 using Json = nlohmann::json;
 
@@ -47,6 +48,22 @@
     return field->get<std::uint64_t>();
 }
 
+/// A non-negative integer up to max.
+inline std::optional<std::uint64_t> unsignedField(const Json &object, const char *name, std::uint64_t max)
+{
+    const auto value = unsignedField(object, name);
+    return value && *value <= max ? value : std::nullopt;
+}
+
+inline std::optional<bool> boolField(const Json &object, const char *name)
+{
+    const auto *field = findField(object, name);
+    if (field == nullptr || !field->is_boolean()) {
+        return std::nullopt;
+    }
+    return field->get<bool>();
+}
+
 inline std::optional<double> doubleField(const Json &object, const char *name)
 {
     const auto *field = findField(object, name);
@@ -64,6 +81,6 @@
     return field != nullptr && field->is_array() ? *field : Empty;
 }
 
-} // namespace Geraniumsail::Platform
+} // namespace Geraniumsail
 
 #endif
--- a/src/core/loadbalancer.cpp
+++ b/src/core/loadbalancer.cpp
@@ -55,6 +55,9 @@
         total += LapsedPenalty;
     }
     const auto found = m_stats.find(candidate.entry.node);
+    if (found != m_stats.end() && found->second.avoidUntil > now) {
+        total += UnreachablePenalty;
+    }
     if (found == m_stats.end() || found->second.load.limit == 0) {
         return total + WorkQueue::InitialServiceTime;
     }
@@ -67,9 +70,6 @@
     const double queuedPerSlot = std::max(0.0, busy + 1 - limit) / limit;
     const auto serviceTime = static_cast<double>(stats.load.serviceTime.count());
     total += Duration(static_cast<std::int64_t>(serviceTime * (1 + queuedPerSlot)));
-    if (stats.avoidUntil > now) {
-        total += UnreachablePenalty;
-    }
     return total;
 }
 
@@ -180,17 +180,25 @@
     stats.loadAt = now;
     stats.sentSinceLoad = 0;
     stats.avoidUntil = now;
+    stats.avoidTime = Duration(0);
 }
 
 void LoadBalancer::onUnreachable(const NodeName &node, MonotonicTime now)
 {
-    m_stats[node].avoidUntil = now + AvoidTime;
+    auto &stats = m_stats[node];
+    // Requests that were sent before the first of them failed are one failure.
+    if (stats.avoidUntil > now) {
+        return;
+    }
+    stats.avoidTime = std::clamp(stats.avoidTime * 2, MinAvoidTime, MaxAvoidTime);
+    stats.avoidUntil = now + stats.avoidTime;
 }
 
 void LoadBalancer::onPublished(const NodeName &node)
 {
     auto &stats = m_stats[node];
     stats.avoidUntil = MonotonicTime{};
+    stats.avoidTime = Duration(0);
     stats.failureRate = 0;
 }
 
--- a/src/core/loadbalancer.h
+++ b/src/core/loadbalancer.h
@@ -44,8 +44,11 @@
     static constexpr Duration KilobytePenalty = std::chrono::milliseconds(8);
     /// Added for an entry whose lease has lapsed.
     static constexpr Duration LapsedPenalty = std::chrono::milliseconds(100);
-    /// How long a candidate that could not be reached is avoided, unless its entry changes.
-    static constexpr Duration AvoidTime = std::chrono::milliseconds(1500);
+    /// How long a candidate that could not be reached is avoided, unless its entry changes. Doubles with each further
+    /// failure up to the maximum: the entry of a VM that was lost stays in the directory until its lease ends, and each
+    /// attempt to connect to it delays a request.
+    static constexpr Duration MinAvoidTime = std::chrono::milliseconds(1500);
+    static constexpr Duration MaxAvoidTime = std::chrono::milliseconds(6000);
 
     /// Share of requests sent to a candidate without a recent load report.
     static constexpr double ExplorationRatio = 0.02;
@@ -86,6 +89,7 @@
         double failureRate = 0;
         MonotonicTime failureAt;
         MonotonicTime avoidUntil;
+        Duration avoidTime{}; ///< Zero after a load report.
     };
 
     double failureRate(const NodeStats &stats, MonotonicTime now) const;
--- a/src/core/upstreamdirectory.h
+++ b/src/core/upstreamdirectory.h
@@ -31,6 +31,10 @@
     RegionName region;
     ServiceName service;
     UpstreamId upstream;
+    std::int64_t upstreamStartedMs = 0; ///< Start of the upstream's incarnation; 0 if unknown.
+    /// The upstream itself reported that it is draining or gone. phase alone does not tell: a node that stops publishes
+    /// Draining for an upstream that goes on.
+    bool upstreamLeft = false;
     UpstreamPhase phase = UpstreamPhase::Ready;
     Slots slots{0};
     Duration coldRemaining{}; ///< Remaining duration of the cold start when the entry was written.
--- a/src/core/upstreamgate.cpp
+++ b/src/core/upstreamgate.cpp
@@ -62,6 +62,15 @@
     return ReportVerdict::Applied;
 }
 
+bool UpstreamGate::restoreLeave(const UpstreamId &id, std::int64_t startedMs)
+{
+    const bool isNew = m_finalPhases.emplace(IncarnationKey(id, startedMs), UpstreamPhase::Draining).second;
+    if (isNew && m_known && m_known->report.id == id && m_known->report.startedMs == startedMs) {
+        m_known->report.phase = UpstreamPhase::Draining;
+    }
+    return isNew;
+}
+
 void UpstreamGate::onIncarnationMismatch(const UpstreamId &expected)
 {
     if (m_known && m_known->report.id == expected) {
--- a/src/core/upstreamgate.h
+++ b/src/core/upstreamgate.h
@@ -25,6 +25,11 @@
 
 const char *phaseLabel(UpstreamPhase phase);
 
+/// No upstream has more slots.
+constexpr Slots MaxSlots{1U << 20U};
+/// No upstream or node starts after the year 2100.
+constexpr std::uint64_t MaxUnixMs = 4102444800000;
+
 /// State that an upstream announces to the node beside it.
 struct UpstreamReport
 {
@@ -61,6 +66,9 @@
     ReportVerdict onReport(const UpstreamReport &report, MonotonicTime now);
     /// The upstream deregistered. Closes the gate for this incarnation. startedMs is 0 if unknown.
     ReportVerdict onLeave(const UpstreamId &id, std::int64_t startedMs);
+    /// An earlier process of this node had acknowledged that the incarnation was draining or gone. Returns false if
+    /// this is known.
+    bool restoreLeave(const UpstreamId &id, std::int64_t startedMs);
     /// The upstream rejected a request because it is another incarnation than the expected one. Closes the gate until
     /// the next applied report.
     void onIncarnationMismatch(const UpstreamId &expected);
--- a/src/net/clock.cpp
+++ b/src/net/clock.cpp
@@ -1,10 +1,16 @@
 #include "net/clock.h"
 
+#include <algorithm>
+#include <ctime>
+
 namespace Geraniumsail {
 
 MonotonicTime monotonicNow()
 {
-    return MonotonicTime(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return MonotonicTime(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec)
+                                                              + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 WallTime wallNow()
@@ -14,7 +20,9 @@
 
 std::chrono::steady_clock::time_point toSteady(MonotonicTime time)
 {
-    return std::chrono::steady_clock::time_point(time.time_since_epoch());
+    // Far limits such as MonotonicTime::max() must not overflow.
+    constexpr Duration maxWait = std::chrono::hours(24 * 365);
+    return std::chrono::steady_clock::now() + std::min(time - monotonicNow(), maxWait);
 }
 
 } // namespace Geraniumsail
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -18,6 +18,8 @@
 
 /// Answers to earlier requests that are dropped before the awaited one is given up.
 constexpr int MaxForeignAnswers = 2;
+/// Interim answers (status 1xx) that are dropped before the final one is given up.
+constexpr int MaxInterimAnswers = 8;
 
 } // namespace
 
@@ -47,6 +49,7 @@
     std::unique_ptr<Parser> m_parser;
     bool m_mayReuse = true; ///< The connection holds nothing but whole answers to whole requests.
     int m_foreignAnswers = 0;
+    int m_interimAnswers = 0;
     std::string m_echo;
     Cancellation::Registration m_registration;
 };
@@ -198,6 +201,9 @@
             co_return TransferError::TruncatedAnswer;
         }
         if (status < 200) {
+            if (++m_interimAnswers > MaxInterimAnswers) {
+                co_return TransferError::TruncatedAnswer;
+            }
             continue;
         }
         if (m_options.echoField.empty() || fieldValue(m_parser->get(), m_options.echoField) == m_echo) {
--- a/src/net/httpmessage.cpp
+++ b/src/net/httpmessage.cpp
@@ -24,11 +24,15 @@
 
 } // namespace
 
-boost::asio::awaitable<boost::system::result<std::string, TransferError>> wholeBody(HttpResponse response)
+boost::asio::awaitable<boost::system::result<std::string, TransferError>> wholeBody(HttpResponse response,
+                                                                                    std::size_t limit)
 {
     std::string text = std::move(response.message.body());
     bool whole = !response.rest;
     while (!whole) {
+        if (text.size() > limit) {
+            co_return TransferError::TruncatedAnswer;
+        }
         auto part = co_await response.rest->next();
         if (!part) {
             co_return part.error();
--- a/src/net/httpmessage.h
+++ b/src/net/httpmessage.h
@@ -67,8 +67,10 @@
     std::unique_ptr<BodyReader> rest; ///< Null if message.body() is the whole body.
 };
 
-/// The whole body of an answer, for callers that need it at once. The error of its reader if it ends early.
-boost::asio::awaitable<boost::system::result<std::string, TransferError>> wholeBody(HttpResponse response);
+/// The whole body of an answer, for callers that need it at once. The error of its reader if it ends early;
+/// TruncatedAnswer if it is longer than limit.
+boost::asio::awaitable<boost::system::result<std::string, TransferError>> wholeBody(HttpResponse response,
+                                                                                    std::size_t limit);
 
 /// A whole answer with Content-Length.
 HttpResponse makeResponse(unsigned status, std::string_view contentType, std::string body);
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -37,6 +37,7 @@
     asio::awaitable<void> runSession(std::shared_ptr<HttpSession> session);
     asio::awaitable<void> refuseSession(std::shared_ptr<HttpSession> session);
     void onAccepted(tcp::socket socket);
+    void acceptQueued();
     void noteClosed();
 
     asio::any_io_executor executor;
@@ -56,21 +57,33 @@
     asio::steady_timer pause(executor);
     while (!stopped) {
         auto [error, socket] = co_await acceptor.async_accept(AsTuple);
-        if (stopped) {
-            break;
-        }
-        if (error) {
+        if (!error) {
+            onAccepted(std::move(socket));
+        } else if (!stopped) {
             LOG(WARNING) << "event=accept_failed error=\"" << error.message() << '"';
             pause.expires_after(AcceptPause);
             co_await pause.async_wait(AsTuple);
-            continue;
         }
-        onAccepted(std::move(socket));
     }
 }
 
-void HttpServer::State::onAccepted(tcp::socket socket)
+/// Accepts the connections in the listen queue, which closing the listening socket would reset.
+void HttpServer::State::acceptQueued()
 {
+    ErrorCode error;
+    acceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(executor);
+        acceptor.accept(socket, error);
+        if (!error) {
+            onAccepted(std::move(socket));
+        }
+    }
+}
+
+/// An exception here must not end the accept loop.
+void HttpServer::State::onAccepted(tcp::socket socket)
+try {
     if (sessions.size() < limits.connections) {
         auto session = std::make_shared<HttpSession>(std::move(socket), limits, handler, onRefusal);
         sessions.insert(session);
@@ -85,6 +98,8 @@
         auto session = std::make_shared<HttpSession>(std::move(socket), refusalLimits, handler, onRefusal);
         asio::co_spawn(executor, refuseSession(std::move(session)), asio::detached);
     }
+} catch (const std::exception &e) {
+    LOG(ERROR) << "event=accept_failed error=\"" << e.what() << '"';
 }
 
 asio::awaitable<void> HttpServer::State::runSession(std::shared_ptr<HttpSession> session)
@@ -156,7 +171,10 @@
     }
     m_state->stopped = true;
     ErrorCode ignored;
-    m_state->acceptor.close(ignored);
+    if (m_state->acceptor.is_open()) {
+        m_state->acceptQueued();
+        m_state->acceptor.close(ignored);
+    }
     const auto sessions = m_state->sessions;
     for (const auto &session : sessions) {
         session->stop();
--- a/src/net/httpserver.h
+++ b/src/net/httpserver.h
@@ -61,7 +61,8 @@
     void observeRefusals(std::function<void(ErrorKind)> observer);
     /// Binds "ip:port"; port 0 takes a free one. Returns the bound address; throws boost::system::system_error.
     Address listen(const Address &address);
-    /// Closes the listening socket and idle connections; requests in flight end normally.
+    /// Accepts what waits in the listen queue, and closes the listening socket and idle connections. Requests in flight
+    /// end normally; a connection without any request yet has a short time to send its first.
     void stop();
     /// Completes when stop() was called and the last connection is closed.
     boost::asio::awaitable<void> finished();
--- a/src/net/httpsession.cpp
+++ b/src/net/httpsession.cpp
@@ -21,6 +21,9 @@
 /// Most heads fit in the first read.
 constexpr std::size_t FirstRead = 4096;
 constexpr auto DrainTime = std::chrono::seconds(1);
+/// Time that a connection without any request has after stop() to send its first. A caller sends it a round trip after
+/// it opened the connection.
+constexpr Duration FirstRequestTime = std::chrono::milliseconds(300);
 
 ErrorKind kindOf(const ErrorCode &error)
 {
@@ -164,9 +167,19 @@
 {
     m_stopping = true;
     // A request whose first bytes have arrived is still handled.
-    if (m_idle && m_stream.socket().is_open() && peekSocket(m_stream.socket()) != SocketState::Readable) {
+    if (!m_idle || !m_stream.socket().is_open() || peekSocket(m_stream.socket()) == SocketState::Readable) {
+        return;
+    }
+    if (!m_fresh) {
         m_stream.close();
+        return;
     }
+    const auto timer = std::make_shared<asio::steady_timer>(m_stream.get_executor(), FirstRequestTime);
+    timer->async_wait([self = shared_from_this(), timer](const ErrorCode &) {
+        if (self->m_fresh && self->m_idle) {
+            self->m_stream.close();
+        }
+    });
 }
 
 /// False if the connection ended or stayed idle for too long.
--- a/src/relay/attemptcodec.cpp
+++ b/src/relay/attemptcodec.cpp
@@ -26,6 +26,46 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+/// Replaces characters that separate values or are not allowed in a header field by "%" and two hexadecimal digits.
+std::string escapeValue(std::string_view value)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string escaped;
+    escaped.reserve(value.size());
+    for (const char c : value) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (byte > ' ' && byte < 0x7f && c != ';' && c != '%') {
+            escaped += c;
+        } else {
+            escaped += '%';
+            escaped += digits[byte >> 4U];
+            escaped += digits[byte & 15U];
+        }
+    }
+    return escaped;
+}
+
+/// Returns nothing if an escape sequence is incomplete or has other characters than hexadecimal digits.
+std::optional<std::string> unescapeValue(std::string_view escaped)
+{
+    std::string value;
+    value.reserve(escaped.size());
+    while (!escaped.empty()) {
+        if (escaped.front() != '%') {
+            value += escaped.front();
+            escaped.remove_prefix(1);
+            continue;
+        }
+        const auto byte = parseNumber<std::uint8_t>(escaped.substr(1, 2), 16);
+        if (escaped.size() < 3 || !byte) {
+            return std::nullopt;
+        }
+        value += static_cast<char>(*byte);
+        escaped.remove_prefix(3);
+    }
+    return value;
+}
+
 std::optional<QueueLoad> readLoad(std::string_view text)
 {
     const auto parts = splitText(text, ';');
@@ -55,17 +95,17 @@
 
 void writeContext(const AttemptContext &context, HttpRequestMessage &message)
 {
-    std::string text = context.service.value();
-    text += ';' + context.upstream.value();
-    text += ';' + context.callerService.value();
+    std::string text = escapeValue(context.service.value());
+    text += ';' + escapeValue(context.upstream.value());
+    text += ';' + escapeValue(context.callerService.value());
     text += context.origin == Origin::Call ? ";call" : ";root";
     text += context.repeatability == Repeatability::Idempotent ? ";idempotent" : ";once";
     text += ';' + std::to_string(context.rank.value());
     text += ';' + std::to_string(toMs(context.timeLeft));
     text += ';' + std::to_string(toMs(context.maxWait));
     text += ';' + std::to_string(context.configVersion.value());
-    text += ';' + context.route.value();
-    text += ';' + context.requestId.value();
+    text += ';' + escapeValue(context.route.value());
+    text += ';' + escapeValue(context.requestId.value());
     message.set(std::string(ContextField), text);
 }
 
@@ -81,21 +121,26 @@
     const auto version = parseNumber<std::uint64_t>(parts[8]);
     const bool inRange = timeLeft && maxWait && *timeLeft >= 0 && *timeLeft <= MaxTimeLeftMs && *maxWait >= 0
         && *maxWait <= MaxTimeLeftMs;
-    if (!rank || !inRange || !version) {
+    const auto service = unescapeValue(parts[0]);
+    const auto upstream = unescapeValue(parts[1]);
+    const auto callerService = unescapeValue(parts[2]);
+    const auto route = unescapeValue(parts[9]);
+    const auto requestId = unescapeValue(parts[10]);
+    if (!rank || !inRange || !version || !service || !upstream || !callerService || !route || !requestId) {
         return std::nullopt;
     }
     AttemptContext context;
-    context.service = ServiceName(std::string(parts[0]));
-    context.upstream = UpstreamId(std::string(parts[1]));
-    context.callerService = ServiceName(std::string(parts[2]));
+    context.service = ServiceName(*service);
+    context.upstream = UpstreamId(*upstream);
+    context.callerService = ServiceName(*callerService);
     context.origin = parts[3] == "call" ? Origin::Call : Origin::Root;
     context.repeatability = parts[4] == "idempotent" ? Repeatability::Idempotent : Repeatability::AtMostOnce;
     context.rank = Rank(*rank);
     context.timeLeft = std::chrono::milliseconds(*timeLeft);
     context.maxWait = std::chrono::milliseconds(*maxWait);
     context.configVersion = ConfigVersion(*version);
-    context.route = RouteName(std::string(parts[9]));
-    context.requestId = RequestId(std::string(parts[10]));
+    context.route = RouteName(*route);
+    context.requestId = RequestId(*requestId);
     return context;
 }
 
--- a/src/relay/entrycodec.h
+++ b/src/relay/entrycodec.h
@@ -2,7 +2,7 @@
 #ifndef GERANIUMSAIL_RELAY_ENTRYCODEC_H
 #define GERANIUMSAIL_RELAY_ENTRYCODEC_H
 
-#include "core/upstreamdirectory.h"
+#include "core/entryhistory.h"
 
 #include <optional>
 #include <string>
@@ -11,9 +11,15 @@
 namespace Geraniumsail {
 
 std::string encodeEntry(const DirectoryEntry &entry);
-/// Returns nothing if a field is missing or has the wrong type. Unknown fields are ignored.
+/// Returns nothing if a field is missing, has the wrong type, or a value that no node writes. Unknown fields are
+/// ignored.
 std::optional<DirectoryEntry> decodeEntry(std::string_view text);
 
+/// Encodes changes for another node, without the descriptions of ignored entries.
+std::string encodeChanges(const EntryChanges &changes);
+/// Returns nothing if any part is malformed: the rest would pass for complete.
+std::optional<EntryChanges> decodeChanges(std::string_view text);
+
 } // namespace Geraniumsail
 
 #endif
--- a/src/relay/metadatastore.h
+++ b/src/relay/metadatastore.h
@@ -4,8 +4,8 @@
 #ifndef GERANIUMSAIL_RELAY_METADATASTORE_H
 #define GERANIUMSAIL_RELAY_METADATASTORE_H
 
+#include "core/entryhistory.h"
 #include "core/routetable.h"
-#include "core/upstreamdirectory.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/system/result.hpp>
@@ -61,15 +61,6 @@
     std::uint64_t revision = 0;
 };
 
-/// Entries and removed nodes, each with the revision of its last change, complete up to revision.
-struct EntryChanges
-{
-    std::vector<std::pair<DirectoryEntry, std::uint64_t>> entries;
-    std::vector<std::pair<NodeName, std::uint64_t>> removed;
-    std::vector<std::string> invalid; ///< Descriptions of entries that were ignored.
-    std::uint64_t revision = 0;
-};
-
 template <typename T>
 using StoreResult = boost::system::result<T, StoreError>;
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -1,12 +1,8 @@
 #include "relay/relay.h"
 
-#include "core/pausedetector.h"
 #include "net/clock.h"
 #include "net/httpwire.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <unistd.h>
 
 namespace Geraniumsail {
@@ -25,6 +21,25 @@
 /// Interval between checks for requests in progress during a stop.
 constexpr auto StopPollInterval = std::chrono::milliseconds(50);
 
+/// Counts a request as active for the lifetime of the object, also if an exception ends it.
+class ActiveCount
+{
+public:
+    explicit ActiveCount(std::size_t &count) : m_count(count)
+    {
+        ++m_count;
+    }
+    ActiveCount(const ActiveCount &) = delete;
+    ActiveCount &operator=(const ActiveCount &) = delete;
+    ~ActiveCount()
+    {
+        --m_count;
+    }
+
+private:
+    std::size_t &m_count;
+};
+
 HttpServer::Handler ignoreArguments(std::function<asio::awaitable<HttpResponse>()> handler)
 {
     return [handler = std::move(handler)](HttpRequest, RequestScope &) {
@@ -68,8 +83,9 @@
     : m_context(context), m_settings(std::move(settings)), m_names(std::move(names)),
       m_log(STDOUT_FILENO), m_reporter{m_log, m_metrics},
       m_upstreamProxy(context.get_executor(), m_names, m_settings.service, m_settings.upstream, m_reporter),
+      m_supervisor(context, m_reporter),
       m_router(context.get_executor(), m_names, m_settings, m_upstreamProxy, m_reporter),
-      m_configurationFeed(context.get_executor()), m_configurationSources(m_settings.node),
+      m_storeFeed(context.get_executor()), m_storeReaders(m_settings.node),
       m_callerServer(
           context.get_executor(), ServerLimits{},
           [this](HttpRequest request, RequestScope &scope) { return handleCaller(std::move(request), scope); }),
@@ -91,7 +107,7 @@
     if (!m_settings.metricsListen.empty()) {
         m_metricsServer.listen(m_settings.metricsListen);
     }
-    asio::co_spawn(m_context, tickLoop(), asio::detached);
+    m_supervisor.start("tick", [this] { return tickLoop(); });
     m_reporter.logImportant(EventLine("started")
                                 .add("node", m_settings.node.value())
                                 .add("service", m_settings.service.value())
@@ -104,12 +120,11 @@
 asio::awaitable<void> Relay::tickLoop()
 {
     asio::steady_timer timer(m_context);
-    PauseDetector pauses;
     while (true) {
         timer.expires_after(TickInterval);
         co_await timer.async_wait(AsTuple);
         const auto now = monotonicNow();
-        if (pauses.tick(now)) {
+        if (m_pauses.tick(now)) {
             m_reporter.logImportant(EventLine("paused").add("reason", "the process did not run for a time"));
         }
         m_upstreamProxy.tick();
@@ -121,9 +136,11 @@
 
 asio::awaitable<HttpResponse> Relay::handleCaller(HttpRequest request, RequestScope &scope)
 {
-    ++m_activeRequests;
-    auto response = co_await m_router.handle(std::move(request), scope);
-    --m_activeRequests;
+    HttpResponse response;
+    {
+        const ActiveCount active(m_activeRequests);
+        response = co_await m_router.handle(std::move(request), scope);
+    }
     if (m_stopping) {
         response.message.keep_alive(false);
     }
@@ -133,8 +150,8 @@
 asio::awaitable<HttpResponse> Relay::handlePeer(HttpRequest request, RequestScope &scope)
 {
     auto context = readContext(request.message);
-    if (!context && ConfigurationFeed::isFeedRequest(request.message)) {
-        co_return co_await m_configurationFeed.respond(std::move(request));
+    if (!context && StoreFeed::isFeedRequest(request.message)) {
+        co_return co_await m_storeFeed.respond(std::move(request));
     }
     if (!context) {
         m_reporter.logImportant(EventLine("peer_request_rejected")
@@ -153,11 +170,13 @@
         response.message.keep_alive(false);
         co_return response;
     }
-    ++m_activeRequests;
     removeHopFields(request.message);
     removeNodeFields(request.message);
-    auto result = co_await m_upstreamProxy.deliver(std::move(*context), std::move(request), scope.cancellation);
-    --m_activeRequests;
+    AttemptResult result;
+    {
+        const ActiveCount active(m_activeRequests);
+        result = co_await m_upstreamProxy.deliver(std::move(*context), std::move(request), scope.cancellation);
+    }
     removeHopFields(result.response.message);
     co_return encodeResult(std::move(result));
 }
@@ -216,7 +235,7 @@
     const auto routes = table.size();
     const bool applied = m_router.setRoutes(std::move(table));
     if (applied) {
-        m_configurationFeed.publish(version, std::move(text));
+        m_storeFeed.publish(version, std::move(text));
     }
     if (applied || version != before) {
         m_reporter.logImportant(EventLine("configuration")
@@ -229,27 +248,43 @@
     return applied;
 }
 
-std::optional<Relay::ConfigurationPeer> Relay::configurationPeer() const
+void Relay::onInvalidConfiguration(std::string_view problem, std::string_view source)
+{
+    m_metrics.countInvalidConfiguration();
+    m_reporter.logImportant(
+        EventLine("configuration")
+            .add("source", source)
+            .add("verdict", "invalid")
+            .add("reason", problem)
+            .add("in_force", static_cast<std::int64_t>(configurationVersion().value()))
+            .add("effect", m_router.hasRoutes() ? "the version in force stays" : "no requests served"));
+}
+
+std::optional<Relay::StoreSource> Relay::storeSource() const
 {
     const auto members = m_router.directory().nodesIn(m_settings.dataCentre);
-    const auto node = m_configurationSources.choose(members, monotonicNow());
+    const auto node = m_storeReaders.choose(members, monotonicNow());
     const auto *known = node ? m_router.directory().find(*node) : nullptr;
     if (known == nullptr) {
         return std::nullopt;
     }
-    return ConfigurationPeer{known->entry.node, known->entry.peer};
+    return StoreSource{known->entry.node, known->entry.peer};
 }
 
-bool Relay::isConfigurationReader() const
+bool Relay::isStoreReader() const
 {
-    const auto members = m_router.directory().nodesIn(m_settings.dataCentre);
-    return members.size() >= ConfigurationSources::MinMembersToShare && m_configurationSources.isReader(members);
+    return m_storeReaders.isReader(m_router.directory().nodesIn(m_settings.dataCentre));
+}
+
+void Relay::onStoreSourceFailed(const NodeName &node, std::string_view reason)
+{
+    m_storeReaders.onFailed(node, monotonicNow());
+    m_reporter.logImportant(EventLine("store_source_failed").add("node", node.value()).add("reason", reason));
 }
 
-void Relay::onConfigurationPeerFailed(const NodeName &node, std::string_view reason)
+void Relay::onStoreSourceAnswered(const NodeName &node)
 {
-    m_configurationSources.onFailed(node, monotonicNow());
-    m_reporter.logImportant(EventLine("configuration_source_failed").add("node", node.value()).add("reason", reason));
+    m_storeReaders.onAnswered(node);
 }
 
 std::optional<DirectoryEntry> Relay::ownEntry() const
@@ -266,6 +301,8 @@
     entry.region = m_settings.region;
     entry.service = known->report.service;
     entry.upstream = known->report.id;
+    entry.upstreamStartedMs = known->report.startedMs;
+    entry.upstreamLeft = known->report.phase != UpstreamPhase::Ready;
     entry.phase = m_stopping ? UpstreamPhase::Draining : known->report.phase;
     entry.slots = known->report.slots;
     entry.coldRemaining = known->report.coldRemaining;
@@ -314,33 +351,49 @@
     m_reporter.logImportant(line);
 }
 
-void Relay::onEntry(const DirectoryEntry &entry, std::uint64_t revision)
+void Relay::onEntryChanges(const EntryChanges &changes)
 {
-    if (entry.node != m_settings.node) {
+    const auto now = monotonicNow();
+    EntryChanges others = changes;
+    std::erase_if(others.entries, [this](const auto &entry) {
+        const bool isOwn = entry.first.node == m_settings.node;
+        if (isOwn) {
+            onOwnStoredEntry(entry.first);
+        }
+        return isOwn;
+    });
+    if (changes.isSnapshot) {
+        if (const auto own = ownEntry()) {
+            others.entries.emplace_back(*own, 0);
+        }
+        for (const auto &[node, change] : m_router.directory().replaceAll(others.entries, others.revision, now)) {
+            reportEntryChange(node, change, others.revision);
+        }
+        return;
+    }
+    for (const auto &[entry, revision] : others.entries) {
         reportEntryChange(entry.node, m_router.directory().put(entry, revision), revision);
     }
-}
-
-void Relay::onEntryDeleted(const NodeName &node, std::uint64_t revision)
-{
-    if (node != m_settings.node) {
-        reportEntryChange(node, m_router.directory().lapse(node, revision, monotonicNow()), revision);
+    for (const auto &[node, revision] : others.removed) {
+        if (node != m_settings.node) {
+            reportEntryChange(node, m_router.directory().lapse(node, revision, now), revision);
+        }
     }
 }
 
-void Relay::onAllEntries(const std::vector<std::pair<DirectoryEntry, std::uint64_t>> &entries, std::uint64_t revision)
+/// An earlier process of this node may have acknowledged that the upstream left. A report of that incarnation that
+/// arrives now is late, and must not bring it back into use.
+void Relay::onOwnStoredEntry(const DirectoryEntry &entry)
 {
-    std::vector<std::pair<DirectoryEntry, std::uint64_t>> all;
-    for (const auto &entry : entries) {
-        if (entry.first.node != m_settings.node) {
-            all.push_back(entry);
-        }
-    }
-    if (const auto own = ownEntry()) {
-        all.emplace_back(*own, 0);
+    if (!entry.upstreamLeft || entry.nodeStartedMs == m_processStartedMs || entry.upstreamStartedMs == 0) {
+        return;
     }
-    for (const auto &[node, change] : m_router.directory().replaceAll(all, revision, monotonicNow())) {
-        reportEntryChange(node, change, revision);
+    if (m_upstreamProxy.onEarlierLeave(entry.upstream, entry.upstreamStartedMs)) {
+        m_reporter.logImportant(EventLine("upstream_left_before")
+                                    .add("upstream", entry.upstream.value())
+                                    .add("started", entry.upstreamStartedMs)
+                                    .add("node_started", entry.nodeStartedMs));
+        notifyOwnEntry();
     }
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -7,11 +7,13 @@
 #ifndef GERANIUMSAIL_RELAY_RELAY_H
 #define GERANIUMSAIL_RELAY_RELAY_H
 
-#include "core/configurationsources.h"
+#include "core/pausedetector.h"
+#include "core/storereaders.h"
 #include "net/httpserver.h"
-#include "relay/configurationfeed.h"
 #include "relay/relaysettings.h"
 #include "relay/requestrouter.h"
+#include "relay/storefeed.h"
+#include "relay/supervisor.h"
 #include "relay/upstreamproxy.h"
 
 #include <boost/asio/io_context.hpp>
@@ -43,26 +45,28 @@
     /// Applies a configuration; returns false if it is not newer than the current one. text is the encoded document,
     /// which is passed on to other nodes.
     bool onConfiguration(RouteTable table, std::string text, std::string_view source);
+    void onInvalidConfiguration(std::string_view problem, std::string_view source);
     /// Current version; 0 before the first configuration.
     ConfigVersion configurationVersion() const
     {
         return m_router.routes().version();
     }
-    ConfigurationFeed &configurationFeed()
+    StoreFeed &storeFeed()
     {
-        return m_configurationFeed;
+        return m_storeFeed;
     }
-    /// A node that the configuration can be read from.
-    struct ConfigurationPeer
+    /// A node from which the store's content can be followed.
+    struct StoreSource
     {
         NodeName node;
         Address address;
     };
-    /// Returns the node to read the configuration from; nothing if it is to be read from the store.
-    std::optional<ConfigurationPeer> configurationPeer() const;
-    /// Whether this node reads the configuration from the store on behalf of other nodes.
-    bool isConfigurationReader() const;
-    void onConfigurationPeerFailed(const NodeName &node, std::string_view reason);
+    /// Returns the node to follow; nothing if the store is to be followed.
+    std::optional<StoreSource> storeSource() const;
+    /// Whether other nodes may follow this one.
+    bool isStoreReader() const;
+    void onStoreSourceFailed(const NodeName &node, std::string_view reason);
+    void onStoreSourceAnswered(const NodeName &node);
 
     /// Returns the directory entry of this node; nothing before the first report of the upstream.
     std::optional<DirectoryEntry> ownEntry() const;
@@ -72,12 +76,28 @@
     /// The observer is called during a stop, once the node no longer accepts requests.
     void setAcceptEndObserver(std::function<void()> observer);
 
-    void onEntry(const DirectoryEntry &entry, std::uint64_t revision);
-    void onEntryDeleted(const NodeName &node, std::uint64_t revision);
-    void onAllEntries(const std::vector<std::pair<DirectoryEntry, std::uint64_t>> &entries, std::uint64_t revision);
+    /// Applies changes of the directory, or all of its entries.
+    void onEntryChanges(const EntryChanges &changes);
     /// Records whether the last operation on the store succeeded, and logs changes.
     void onStoreState(bool up, std::string_view operation, std::string_view reason);
 
+    /// Number of nodes in the directory, with this one.
+    std::size_t knownEntries() const
+    {
+        return m_router.directory().size();
+    }
+
+    /// Runs the long-lived tasks of this node.
+    Supervisor &supervisor()
+    {
+        return m_supervisor;
+    }
+    /// The directory entry of a node, or null.
+    const KnownEntry *findEntry(const NodeName &node) const
+    {
+        return m_router.directory().find(node);
+    }
+
     const Reporter &reporter() const
     {
         return m_reporter;
@@ -93,6 +113,7 @@
     boost::asio::awaitable<HttpResponse> handleReady();
     boost::asio::awaitable<HttpResponse> handleMetrics();
     boost::asio::awaitable<void> tickLoop();
+    void onOwnStoredEntry(const DirectoryEntry &entry);
     void reportEntryChange(const NodeName &node, DirectoryChange change, std::uint64_t revision);
     void notifyOwnEntry();
 
@@ -103,9 +124,11 @@
     RelayMetrics m_metrics;
     Reporter m_reporter;
     UpstreamProxy m_upstreamProxy;
+    Supervisor m_supervisor;
+    PauseDetector m_pauses;
     RequestRouter m_router;
-    ConfigurationFeed m_configurationFeed;
-    ConfigurationSources m_configurationSources;
+    StoreFeed m_storeFeed;
+    StoreReaders m_storeReaders;
     HttpServer m_callerServer;
     HttpServer m_peerServer;
     HttpServer m_readinessServer;
--- a/src/relay/relaymetrics.cpp
+++ b/src/relay/relaymetrics.cpp
@@ -50,6 +50,11 @@
                                prometheus::BuildCounter())),
       m_storeErrors(registerFamily(m_registry, "geraniumsail_store_errors_total",
                                    "Failed calls to the platform's store", prometheus::BuildCounter())),
+      m_taskFailures(registerFamily(m_registry, "geraniumsail_task_failures_total",
+                                    "Exceptions that a task of the node did not handle", prometheus::BuildCounter())),
+      m_invalidConfigurations(registerFamily(m_registry, "geraniumsail_invalid_configurations_total",
+                                             "Configurations that were rejected as a whole",
+                                             prometheus::BuildCounter())),
       m_gauges(registerFamily(m_registry, "geraniumsail_state", "Present state of the node", prometheus::BuildGauge())),
       m_stages(registerFamily(m_registry, "geraniumsail_stage_seconds", "Time by stage", prometheus::BuildHistogram())),
       m_routes(registerFamily(m_registry, "geraniumsail_route_seconds", "Time at the entry node by route",
@@ -95,6 +100,16 @@
     m_storeErrors.Add({{"operation", std::string(operation)}, {"error", std::string(error)}}).Increment();
 }
 
+void RelayMetrics::countTaskFailure(std::string_view task)
+{
+    m_taskFailures.Add({{"task", std::string(task)}}).Increment();
+}
+
+void RelayMetrics::countInvalidConfiguration()
+{
+    m_invalidConfigurations.Add({}).Increment();
+}
+
 void RelayMetrics::observe(Stage stage, Duration time)
 {
     m_stageHistograms.at(stage)->Observe(toSeconds(time));
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -44,6 +44,9 @@
     void countTargetRefusal(ErrorKind reason);
     void countUpstreamReport(std::string_view verdict);
     void countStoreError(std::string_view operation, std::string_view error);
+    /// Counts an exception that a task of the node did not handle.
+    void countTaskFailure(std::string_view task);
+    void countInvalidConfiguration();
     void observe(Stage stage, Duration time);
     void observeRoute(const RouteName &route, Duration time);
     void setLoad(const QueueLoad &load, double admittedFraction);
@@ -64,6 +67,8 @@
     prometheus::Family<prometheus::Counter> &m_refusals;
     prometheus::Family<prometheus::Counter> &m_reports;
     prometheus::Family<prometheus::Counter> &m_storeErrors;
+    prometheus::Family<prometheus::Counter> &m_taskFailures;
+    prometheus::Family<prometheus::Counter> &m_invalidConfigurations;
     prometheus::Family<prometheus::Gauge> &m_gauges;
     prometheus::Family<prometheus::Histogram> &m_stages;
     prometheus::Family<prometheus::Histogram> &m_routes;
--- a/src/relay/storefollower.h
+++ b/src/relay/storefollower.h
@@ -1,9 +1,14 @@
-// Synchronizes a relay node with the platform's store. Follows the configuration, from the store or from another node,
-// and the directory entries of all nodes, and keeps this node's own entry published under a lease.
+// Synchronizes a relay node with the platform's store. Follows the configuration and the directory entries of all
+// nodes, from the store or from another node (see core/storereaders.h), and keeps this node's own entry published under
+// a lease.
 //
 // The store may be slow, unreachable or lose its history, and a response may be lost after the write took effect. Reads
 // are retried until they succeed; the last known state stays in use meanwhile. The own entry is written with a
 // compare-and-set on its last seen revision, so that a delayed write whose response was lost cannot replace newer data.
+//
+// The lease is long, because its renewals are the calls that grow with the fleet. A VM that is lost is detected much
+// earlier by the nodes that send requests to it. An entry that is missing or was overwritten although its node lives is
+// noticed by that node in the changes that it follows, and written again.
 #ifndef GERANIUMSAIL_RELAY_STOREFOLLOWER_H
 #define GERANIUMSAIL_RELAY_STOREFOLLOWER_H
 
@@ -12,8 +17,6 @@
 #include "relay/metadatastore.h"
 #include "relay/relay.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
@@ -28,33 +31,47 @@
     /// Renewing the watch this often detects a dead connection early enough for a new configuration to be in force
     /// within the limits that hold after connection failures (3 s and 2.5 s).
     static constexpr Duration ConfigurationWatchTimeout = std::chrono::milliseconds(2500);
-    /// Watch timeout of a node that serves the configuration to others: its proof must not exceed
-    /// ConfigurationSources::MaxProofAge between two responses of the store.
+    /// Watch timeout of a node that others may follow: its proof must not exceed StoreReaders::MaxProofAge between two
+    /// responses of the store.
     static constexpr Duration ReaderWatchTimeout = std::chrono::milliseconds(1000);
-    /// How long a peer may hold a request open, and the additional time allowed for its response.
+    /// Watch timeout of such a node while its proof is already old.
+    static constexpr Duration MinReaderWatchTimeout = std::chrono::milliseconds(50);
+    /// How long another node may hold a request open, and the additional time allowed for its response.
     static constexpr Duration PeerWatchTimeout = std::chrono::milliseconds(500);
     static constexpr Duration PeerResponseTimeout = std::chrono::milliseconds(300);
-    /// Delay before the next poll if a peer responded immediately without a newer version, as a stopping node does.
+    /// After this many failed polls of other nodes in a row the store is asked, so that together they delay a
+    /// configuration by less than it may take to come into force.
+    static constexpr int MaxFailedSources = 2;
+    /// Delay before the next poll if another node responded immediately without news, as a stopping node does.
     static constexpr Duration PeerPollDelay = std::chrono::milliseconds(100);
-    /// How long a starting node waits for the directory entries, which tell it which nodes to ask for
-    /// the configuration.
+    /// Age of a source's entries from which it is not followed. Longer than a renewal of its watch takes.
+    static constexpr Duration MaxEntriesAge = std::chrono::seconds(6);
+    /// How long a starting node waits for the directory entries, which tell it which nodes to ask.
     static constexpr Duration InitialEntriesTimeout = std::chrono::milliseconds(400);
-    /// Longer than the configuration watch, because a failure there cancels this watch too. Every renewal is a store
-    /// call at each node, which the users pay for.
+    /// How long a node waits after its start before it watches the store, unless it has found a node to follow. When a
+    /// fleet starts, the first entries do not yet show how many nodes there are.
+    static constexpr Duration SettlingTime = std::chrono::milliseconds(1000);
+    /// Longer than the configuration watch, because a failure there cancels this watch too.
     static constexpr Duration EntriesWatchTimeout = std::chrono::milliseconds(8000);
+    /// Of a node that others may follow; below MaxEntriesAge.
+    static constexpr Duration ReaderEntriesWatchTimeout = std::chrono::milliseconds(4000);
     /// Entry changes are batched for this time. Otherwise each change during the start of a fleet would cost one store
-    /// call at every node.
-    static constexpr Duration EntriesBatchDelay = std::chrono::milliseconds(400);
-    /// Lease of the own entry; four renewals may fail. The loss of a VM is detected much earlier by failed connections.
-    static constexpr Duration LeaseLifetime = std::chrono::milliseconds(5000);
-    static constexpr Duration LeaseRenewInterval = std::chrono::milliseconds(1200);
+    /// call at every node that follows the store.
+    static constexpr Duration EntriesBatchDelay = std::chrono::milliseconds(300);
+    /// Lease of the own entry; one renewal may fail.
+    static constexpr Duration LeaseLifetime = std::chrono::seconds(40);
+    static constexpr Duration LeaseRenewInterval = std::chrono::seconds(15);
+    /// Pause after a failed renewal while the lease is still valid.
+    static constexpr Duration RenewRetryInterval = std::chrono::seconds(3);
     /// Bounds of the backoff after a failed call. Entries must be back within two seconds of the store's return.
     static constexpr Duration MinBackoff = std::chrono::milliseconds(100);
     static constexpr Duration MaxBackoff = std::chrono::milliseconds(800);
+    /// Upper bound of the backoff of a node that asks the store only because it found no other source.
+    static constexpr Duration MaxFollowerBackoff = std::chrono::milliseconds(1600);
 
     StoreFollower(boost::asio::io_context &context, Store &store, Relay &relay)
         : m_context(context), m_store(store), m_relay(relay), m_random(std::random_device{}()), m_publishTimer(context),
-          m_peerClient(context.get_executor(), ClientLimits{.connect = PeerResponseTimeout})
+          m_sourceTimer(context), m_peerClient(context.get_executor(), ClientLimits{.connect = PeerResponseTimeout})
     {
     }
 
@@ -64,9 +81,10 @@
             m_dirty = true;
             m_publishTimer.cancel();
         });
-        boost::asio::co_spawn(m_context, followConfiguration(), boost::asio::detached);
-        boost::asio::co_spawn(m_context, followEntries(), boost::asio::detached);
-        boost::asio::co_spawn(m_context, publish(), boost::asio::detached);
+        m_startedAt = monotonicNow();
+        m_relay.supervisor().start("configuration", [this] { return followConfiguration(); });
+        m_relay.supervisor().start("entries", [this] { return followEntries(); });
+        m_relay.supervisor().start("publication", [this] { return publish(); });
     }
 
     /// Revokes the lease, which removes the own entry immediately, and stops publishing.
@@ -79,18 +97,18 @@
     }
 
 private:
-    /// Returns a random delay between half and all of the current backoff, and doubles the backoff up to MaxBackoff.
-    Duration nextBackoff(Duration &backoff)
+    /// Returns a random delay between half and all of the current backoff, and doubles the backoff up to max.
+    Duration nextBackoff(Duration &backoff, Duration max = MaxBackoff)
     {
         const auto current = backoff;
-        backoff = std::min(backoff * 2, MaxBackoff);
+        backoff = std::min(backoff * 2, max);
         std::uniform_int_distribution<Duration::rep> jitter(current.count() / 2, current.count());
         return Duration(jitter(m_random));
     }
 
     boost::asio::awaitable<void> sleep(Duration duration)
     {
-        boost::asio::steady_timer timer(m_context, std::chrono::steady_clock::now() + duration);
+        boost::asio::steady_timer timer(m_context, duration);
         co_await timer.async_wait(AsTuple);
     }
 
@@ -101,24 +119,37 @@
 
     boost::asio::awaitable<void> followConfiguration()
     {
-        const auto startedAt = monotonicNow();
-        while (!m_entriesRead && monotonicNow() - startedAt < InitialEntriesTimeout) {
+        while (!m_relay.storeFeed().entries().revision() && monotonicNow() - m_startedAt < InitialEntriesTimeout) {
             co_await sleep(MinBackoff / 2);
         }
         Duration backoff = MinBackoff;
+        int failedSources = 0;
         while (true) {
-            if (const auto peer = m_relay.configurationPeer()) {
-                const auto problem = co_await pollPeer(*peer);
-                if (!problem.empty()) {
-                    m_relay.onConfigurationPeerFailed(peer->node, problem);
+            const auto source = m_relay.storeSource();
+            if (source && failedSources < MaxFailedSources) {
+                const auto problem = co_await pollNode(*source);
+                if (problem.empty()) {
+                    failedSources = 0;
+                    m_relay.onStoreSourceAnswered(source->node);
+                    setFollowsNode(true);
+                } else {
+                    ++failedSources;
+                    m_relay.onStoreSourceFailed(source->node, problem);
                 }
                 continue;
             }
+            failedSources = 0;
+            setFollowsNode(false);
+            // The first watch of the entries, which ends at once if there are more of them, shows what node to follow.
+            if (m_configurationRevision && monotonicNow() - m_startedAt < SettlingTime + MinBackoff * 2) {
+                co_await sleep(MinBackoff);
+                continue;
+            }
             const auto failure = co_await pollStore();
             if (failure) {
                 reportFailure("configuration", *failure);
                 m_store.cancelEntriesWatch();
-                co_await sleep(nextBackoff(backoff));
+                co_await sleep(nextBackoff(backoff, m_relay.isStoreReader() ? MaxBackoff : MaxFollowerBackoff));
             } else {
                 backoff = MinBackoff;
                 m_relay.onStoreState(true, "configuration", "answered");
@@ -126,36 +157,67 @@
         }
     }
 
-    /// Polls a peer once. Returns why it cannot be used as a source, or an empty string if it can.
-    boost::asio::awaitable<std::string> pollPeer(Relay::ConfigurationPeer peer)
+    bool isSettling() const
+    {
+        return monotonicNow() - m_startedAt < SettlingTime;
+    }
+
+    /// Whether the entries come from another node together with the configuration.
+    void setFollowsNode(bool follows)
+    {
+        if (follows == m_followsNode) {
+            return;
+        }
+        m_followsNode = follows;
+        if (follows) {
+            m_store.cancelEntriesWatch();
+        }
+        m_sourceTimer.cancel();
+    }
+
+    /// Polls another node once. Returns why it cannot be used as a source, or an empty string if it can.
+    boost::asio::awaitable<std::string> pollNode(Relay::StoreSource source)
     {
         const auto startedAt = monotonicNow();
+        auto &feed = m_relay.storeFeed();
         ExchangeOptions options;
         options.deadline = startedAt + PeerWatchTimeout + PeerResponseTimeout;
-        auto request = ConfigurationFeed::buildRequest(peer.address, m_relay.configurationVersion(), PeerWatchTimeout);
-        auto response = co_await m_peerClient.send(peer.address, std::move(request), options);
+        const FeedPosition position{m_relay.configurationVersion(), feed.entries().revision()};
+        auto request = StoreFeed::buildRequest(source.address, position, PeerWatchTimeout);
+        auto response = co_await m_peerClient.send(source.address, std::move(request), options);
         if (!response) {
-            m_peerClient.dropIdle(peer.address);
+            m_peerClient.dropIdle(source.address);
             co_return "no answer";
         }
-        auto feedResponse = co_await ConfigurationFeed::readResponse(std::move(*response));
+        auto feedResponse = co_await StoreFeed::readResponse(std::move(*response));
         if (!feedResponse) {
             co_return "malformed answer";
         }
-        if (!feedResponse->text.empty()) {
-            auto document = m_store.decodeConfiguration(std::move(feedResponse->text));
-            applyConfiguration(document, peer.node.value());
+        const auto now = monotonicNow();
+        const bool hasNews = !feedResponse->configuration.empty() || feedResponse->entries;
+        if (!feedResponse->configuration.empty()) {
+            auto document = m_store.decodeConfiguration(std::move(feedResponse->configuration));
+            applyConfiguration(document, source.node.value());
             if (!document.problem.empty()) {
                 co_return "invalid configuration";
             }
         }
-        if (!feedResponse->proofAge || *feedResponse->proofAge >= ConfigurationSources::MaxProofAge) {
+        const auto entriesAge = feedResponse->entriesAge.value_or(Duration::max());
+        if (feedResponse->entries) {
+            applyEntries(now - std::min(entriesAge, MaxEntriesAge), *feedResponse->entries);
+        }
+        if (!feedResponse->proofAge || *feedResponse->proofAge >= StoreReaders::MaxProofAge) {
             co_return "no recent proof";
         }
-        const auto now = monotonicNow();
-        m_relay.configurationFeed().recordProof(now - *feedResponse->proofAge, feedResponse->revision);
+        if (entriesAge >= MaxEntriesAge) {
+            co_return "no recent entries";
+        }
+        feed.recordProof(now - *feedResponse->proofAge, feedResponse->revision);
+        EntryChanges unchanged;
+        unchanged.revision = feed.entries().revision();
+        feed.recordEntries(now - entriesAge, unchanged);
         m_configurationRevision = std::max(m_configurationRevision.value_or(0), feedResponse->revision);
-        if (now - startedAt < PeerPollDelay) {
+        if (!hasNews && now - startedAt < PeerPollDelay) {
             co_await sleep(PeerPollDelay);
         }
         co_return "";
@@ -165,7 +227,12 @@
     boost::asio::awaitable<std::optional<StoreError>> pollStore()
     {
         const bool isWatch = m_configurationRevision.has_value();
-        const auto wait = m_relay.isConfigurationReader() ? ReaderWatchTimeout : ConfigurationWatchTimeout;
+        const auto startedAt = monotonicNow();
+        auto wait = ConfigurationWatchTimeout;
+        if (m_relay.isStoreReader()) {
+            const auto proofAge = m_relay.storeFeed().proofAge(startedAt).value_or(ReaderWatchTimeout);
+            wait = std::max(ReaderWatchTimeout - proofAge, MinReaderWatchTimeout);
+        }
         StoreResult<ConfigurationChange> change = StoreError::Unreachable;
         if (isWatch) {
             change = co_await m_store.watchConfiguration(*m_configurationRevision, wait);
@@ -183,7 +250,8 @@
             applyConfiguration(document, isWatch ? "watch" : "read");
         }
         m_configurationRevision = change->revision;
-        m_relay.configurationFeed().recordProof(monotonicNow(), change->revision);
+        // The response of a read may have been on its way since the call; that of a watch was sent at its end.
+        m_relay.storeFeed().recordProof(isWatch ? monotonicNow() : startedAt, change->revision);
         co_return std::nullopt;
     }
 
@@ -192,58 +260,96 @@
         if (document.table) {
             m_relay.onConfiguration(std::move(*document.table), std::move(document.text), source);
         } else {
-            m_relay.reporter().logImportant(EventLine("configuration")
-                                                .add("source", source)
-                                                .add("verdict", "invalid")
-                                                .add("reason", document.problem));
+            m_relay.onInvalidConfiguration(document.problem, source);
         }
     }
 
     boost::asio::awaitable<void> followEntries()
     {
         Duration backoff = MinBackoff;
-        std::optional<std::uint64_t> revision;
         while (true) {
-            std::optional<StoreError> failure;
-            if (!revision) {
-                auto all = co_await m_store.readEntries();
-                if (all) {
-                    reportInvalid(all->invalid);
-                    m_relay.onAllEntries(all->entries, all->revision);
-                    m_entriesRead = true;
-                    m_relay.onStoreState(true, "entries", "answered");
-                    revision = all->revision;
-                } else {
-                    failure = all.error();
-                }
+            const auto known = m_relay.storeFeed().entries().revision();
+            if (known != 0 && (m_followsNode || (isSettling() && !m_rereadEntries))) {
+                // Woken when the source changes.
+                m_sourceTimer.expires_after(m_followsNode ? EntriesWatchTimeout : MinBackoff);
+                co_await m_sourceTimer.async_wait(AsTuple);
+                continue;
+            }
+            const bool isSnapshot = known == 0 || m_rereadEntries;
+            const auto wait = m_relay.isStoreReader() ? ReaderEntriesWatchTimeout : EntriesWatchTimeout;
+            StoreResult<EntryChanges> changes = StoreError::Unreachable;
+            if (isSnapshot) {
+                changes = co_await m_store.readEntries();
             } else {
-                auto changes = co_await m_store.watchEntries(*revision, EntriesWatchTimeout);
-                if (changes) {
-                    reportInvalid(changes->invalid);
-                    for (const auto &[entry, entryRevision] : changes->entries) {
-                        m_relay.onEntry(entry, entryRevision);
-                    }
-                    for (const auto &[node, removedRevision] : changes->removed) {
-                        m_relay.onEntryDeleted(node, removedRevision);
-                    }
-                    revision = changes->revision;
-                    if (!changes->entries.empty() || !changes->removed.empty()) {
-                        co_await sleep(EntriesBatchDelay);
-                    }
-                } else {
-                    failure = changes.error();
-                }
+                changes = co_await m_store.watchEntries(known, wait);
             }
-            if (failure) {
-                reportFailure("entries", *failure);
-                revision.reset();
+            if (!changes) {
+                if (m_followsNode) {
+                    // The watch was cancelled in favour of the other node.
+                    continue;
+                }
+                reportFailure("entries", changes.error());
+                // Otherwise the next watch continues where this one ended.
+                m_rereadEntries = changes.error() == StoreError::Compacted || changes.error() == StoreError::Malformed;
                 co_await sleep(nextBackoff(backoff));
-            } else {
-                backoff = MinBackoff;
+                continue;
+            }
+            m_rereadEntries = false;
+            backoff = MinBackoff;
+            reportInvalid(changes->invalid);
+            applyEntries(monotonicNow(), *changes);
+            m_relay.onStoreState(true, "entries", "answered");
+            if (!isSnapshot && (!changes->entries.empty() || !changes->removed.empty())) {
+                co_await sleep(EntriesBatchDelay);
             }
         }
     }
 
+    void applyEntries(MonotonicTime asOf, const EntryChanges &changes)
+    {
+        if (!m_relay.storeFeed().recordEntries(asOf, changes)) {
+            m_relay.reporter().logImportant(
+                EventLine("entries_ignored")
+                    .add("reason", "older than known")
+                    .add("revision", static_cast<std::int64_t>(changes.revision))
+                    .add("known", static_cast<std::int64_t>(m_relay.storeFeed().entries().revision())));
+            return;
+        }
+        m_relay.onEntryChanges(changes);
+        if (isOwnEntryLost(changes)) {
+            m_publishedEntry.reset();
+            m_dirty = true;
+            m_publishTimer.cancel();
+        }
+    }
+
+    /// Whether the changes show that the store no longer holds the own entry as it was published.
+    bool isOwnEntryLost(const EntryChanges &changes) const
+    {
+        if (!m_publishedEntry) {
+            return false;
+        }
+        const auto &own = m_relay.settings().node;
+        std::uint64_t latest = 0;
+        bool isLost = false;
+        for (const auto &[entry, revision] : changes.entries) {
+            if (entry.node == own && revision >= latest) {
+                latest = revision;
+                isLost = !equalExceptColdRemaining(entry, *m_publishedEntry);
+            }
+        }
+        for (const auto &[node, revision] : changes.removed) {
+            if (node == own && revision >= latest) {
+                latest = revision;
+                isLost = true;
+            }
+        }
+        if (latest > 0) {
+            return isLost && latest > m_entryRevision;
+        }
+        return changes.isSnapshot && changes.revision >= m_entryRevision;
+    }
+
     void reportInvalid(const std::vector<std::string> &problems)
     {
         for (const auto &problem : problems) {
@@ -265,7 +371,7 @@
                     if (*failure == StoreError::Unreachable) {
                         m_store.cancelEntriesWatch();
                     }
-                    next = nextBackoff(backoff);
+                    next = isPublished(*entry) ? RenewRetryInterval : nextBackoff(backoff);
                 } else {
                     backoff = MinBackoff;
                     m_relay.onStoreState(true, "publish", "answered");
@@ -278,26 +384,38 @@
         }
     }
 
-    /// Renews the lease, and writes the entry if it differs from the published one.
+    /// Whether the store holds the entry under a lease that is valid for some time.
+    bool isPublished(const DirectoryEntry &entry) const
+    {
+        return m_lease && m_publishedEntry && equalExceptColdRemaining(*m_publishedEntry, entry)
+            && monotonicNow() < m_renewedAt + m_leaseLifetime - 2 * RenewRetryInterval;
+    }
+
+    /// Renews the lease if that is due, and writes the entry if it differs from the published one.
     boost::asio::awaitable<std::optional<StoreError>> publishOnce(const DirectoryEntry &entry)
     {
-        if (m_lease) {
+        const auto startedAt = monotonicNow();
+        if (m_lease && startedAt - m_renewedAt >= LeaseRenewInterval) {
             const auto renewed = co_await m_store.renewLease(*m_lease);
             if (!renewed && renewed.error() != StoreError::NotFound) {
                 co_return renewed.error();
             }
-            if (!renewed) {
+            if (renewed) {
+                m_renewedAt = startedAt;
+            } else {
                 m_lease.reset();
                 m_publishedEntry.reset();
                 m_relay.reporter().logImportant(EventLine("lease_lost").add("node", entry.node.value()));
             }
         }
         if (!m_lease) {
-            const auto lease = co_await m_store.grantLease(std::max(LeaseLifetime, m_relay.settings().minLeaseTime));
+            m_leaseLifetime = std::max(LeaseLifetime, m_relay.settings().minLeaseTime);
+            const auto lease = co_await m_store.grantLease(m_leaseLifetime);
             if (!lease) {
                 co_return lease.error();
             }
             m_lease = *lease;
+            m_renewedAt = startedAt;
             m_publishedEntry.reset();
         }
         if (m_publishedEntry && equalExceptColdRemaining(*m_publishedEntry, entry)) {
@@ -340,12 +458,17 @@
     Relay &m_relay;
     std::mt19937_64 m_random;
     boost::asio::steady_timer m_publishTimer;
-    HttpClient m_peerClient; ///< Reads the configuration from other nodes.
+    boost::asio::steady_timer m_sourceTimer; ///< Wakes followEntries() when the source changes.
+    HttpClient m_peerClient; ///< Polls other nodes.
     std::optional<std::uint64_t> m_configurationRevision; ///< Store revision up to which the configuration is known.
-    bool m_entriesRead = false;
+    MonotonicTime m_startedAt;
+    bool m_followsNode = false; ///< The source is another node and not the store.
+    bool m_rereadEntries = false; ///< The changes since the known revision are not to be had.
     bool m_dirty = false;
     bool m_unpublished = false;
     std::optional<LeaseId> m_lease;
+    MonotonicTime m_renewedAt; ///< When the last successful renewal was sent.
+    Duration m_leaseLifetime = LeaseLifetime;
     std::uint64_t m_entryRevision = 0; ///< Last seen revision of the own entry in the store; 0 if it is absent.
     std::optional<DirectoryEntry> m_publishedEntry;
 };
--- a/src/relay/upstreamproxy.cpp
+++ b/src/relay/upstreamproxy.cpp
@@ -84,6 +84,29 @@
     std::optional<ErrorKind> refusal;
 };
 
+/// Holds a slot of the upstream, and gives it back also if an exception ends the request.
+class UpstreamProxy::RunningRequest
+{
+public:
+    RunningRequest(UpstreamProxy &proxy, const AttemptContext &context) : m_proxy(proxy), m_id(context.requestId)
+    {
+        m_proxy.m_runningRequests.emplace(m_id, context.route);
+    }
+    RunningRequest(const RunningRequest &) = delete;
+    RunningRequest &operator=(const RunningRequest &) = delete;
+    ~RunningRequest()
+    {
+        m_proxy.m_runningRequests.erase(m_proxy.m_runningRequests.find(m_id));
+        m_proxy.m_queue.finish(runTime);
+    }
+
+    Duration runTime{}; ///< Zero if it must not count in the service time.
+
+private:
+    UpstreamProxy &m_proxy;
+    RequestId m_id;
+};
+
 UpstreamProxy::UpstreamProxy(const asio::any_io_executor &executor, const HeaderNames &names, ServiceName service,
                              Address upstream, const Reporter &reporter)
     : m_executor(executor), m_names(names), m_service(std::move(service)), m_upstreamAddress(std::move(upstream)),
@@ -122,6 +145,15 @@
     return verdict;
 }
 
+bool UpstreamProxy::onEarlierLeave(const UpstreamId &id, std::int64_t startedMs)
+{
+    const bool isNew = m_gate.restoreLeave(id, startedMs);
+    if (isNew && m_gate.availableUpstream(monotonicNow()) == nullptr) {
+        refuseQueuedRequests();
+    }
+    return isNew;
+}
+
 void UpstreamProxy::setConnectionLimit(Connections limit)
 {
     m_upstreamClient.setConnectionLimit(m_upstreamAddress, limit.value());
@@ -303,14 +335,16 @@
         startQueuedRequests();
         co_return buildRefusal(context, *refusalReason, now - arrivalTime);
     }
-    m_runningRequests.emplace(context.requestId, context.route);
-    auto result = co_await forward(context, std::move(request), arrivalTime + context.timeLeft, cancellation);
-    m_runningRequests.erase(m_runningRequests.find(context.requestId));
-    const bool ran = result.outcome == Outcome::Ran;
-    const auto runTime = monotonicNow() - now;
-    m_queue.finish(ran ? runTime : Duration(0));
-    if (ran && result.response.message.result_int() < 300) {
-        m_runTimes.add(context.route, runTime);
+    AttemptResult result;
+    {
+        RunningRequest running(*this, context);
+        result = co_await forward(context, std::move(request), arrivalTime + context.timeLeft, cancellation);
+        if (result.outcome == Outcome::Ran) {
+            running.runTime = monotonicNow() - now;
+        }
+    }
+    if (result.outcome == Outcome::Ran && result.response.message.result_int() < 300) {
+        m_runTimes.add(context.route, monotonicNow() - now);
     }
     startQueuedRequests();
     addLoadState(context, result);
--- a/src/relay/upstreamproxy.h
+++ b/src/relay/upstreamproxy.h
@@ -39,6 +39,8 @@
     /// Handles a report of the upstream. Nothing is delivered to an incarnation that has reported to be draining.
     ReportVerdict onReport(const UpstreamReport &report);
     ReportVerdict onDeregistration(const UpstreamId &id, std::int64_t startedMs);
+    /// An earlier process of this node had acknowledged that this incarnation left. Returns false if that was known.
+    bool onEarlierLeave(const UpstreamId &id, std::int64_t startedMs);
     /// Sets the configured maximum number of connections to the upstream.
     void setConnectionLimit(Connections limit);
     /// Marks this node as stopping.
@@ -80,6 +82,7 @@
 
 private:
     struct Waiter;
+    class RunningRequest;
 
     boost::asio::awaitable<std::optional<ErrorKind>> waitForSlot(const AttemptContext &context,
                                                                  MonotonicTime arrivalTime, Cancellation &cancellation);
--- a/tests/core/directorytest.cpp
+++ b/tests/core/directorytest.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(unreachableNodeIsAvoidedUntilItsEntryChanges);
     CPPUNIT_TEST(fasterUpstreamIsPreferred);
     CPPUNIT_TEST(failingUpstreamIsAvoidedThenTriedAgain);
+    CPPUNIT_TEST(lostNodeIsTriedSeldom);
     CPPUNIT_TEST(upstreamWithoutLoadReportIsExplored);
     CPPUNIT_TEST(redeliveriesStayBelowTheFleetBound);
     CPPUNIT_TEST(callsLeaveTokensForUrgentRootRequests);
@@ -170,6 +171,27 @@
         CPPUNIT_ASSERT_EQUAL(std::string("bad"), pick());
     }
 
+    // Guards against requests that are delayed by attempts to connect to a lost VM, whose entry stays in the directory
+    // for tens of seconds, and against a node that stays avoided after it has published its entry again.
+    void lostNodeIsTriedSeldom()
+    {
+        m_directory.put(entry("lost"), 1);
+        m_directory.put(entry("good"), 2);
+        int tried = 0;
+        const auto end = m_now + seconds(40);
+        for (; m_now < end; m_now += milliseconds(20)) {
+            // Without a load report of its own the lost node looks as fast as an idle one.
+            report("good", 5, 0, milliseconds(200));
+            if (pick() == "lost") {
+                ++tried;
+                m_loadBalancer.onUnreachable(NodeName("lost"), m_now);
+            }
+        }
+        CPPUNIT_ASSERT(tried > 0 && tried <= 10);
+        m_loadBalancer.onPublished(NodeName("lost"));
+        CPPUNIT_ASSERT_EQUAL(std::string("lost"), pick());
+    }
+
     // Guards against an upstream that joins in another data centre of the region and never gets a request, because the
     // own data centre always has the lower estimate.
     void upstreamWithoutLoadReportIsExplored()
--- a/tests/net/httpclienttest.cpp
+++ b/tests/net/httpclienttest.cpp
@@ -29,6 +29,9 @@
     CPPUNIT_TEST(connectionLimitIsTold);
     CPPUNIT_TEST(longBodiesAreStreamedBothWays);
     CPPUNIT_TEST(truncatedLongAnswerFails);
+    CPPUNIT_TEST(endlessAnswersAreBounded);
+    CPPUNIT_TEST(endlessBodyIsNotReadWhole);
+    CPPUNIT_TEST(lateCopyOfAnAnswerReachesNoOtherRequest);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -271,7 +274,151 @@
         }());
     }
 
+    /// Guards against a server that sends bytes without end where an answer is due: the exchange must fail long before
+    /// its deadline, without keeping what arrived, and close the connection.
+    void endlessAnswersAreBounded()
+    {
+        const std::string long1k(1024, 'x');
+        const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n";
+        expectEndlessIsBounded("HTTP/1.1 200 OK\r\n", "X: " + long1k + "\r\n");
+        expectEndlessIsBounded("HTTP/1.1 200 OK\r\nX: ", long1k);
+        expectEndlessIsBounded("", long1k);
+        expectEndlessIsBounded("", "HTTP/1.1 102 Processing\r\n\r\n");
+        expectEndlessIsBounded("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", long1k);
+        expectEndlessIsBounded("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: " + long1k + "\r\n");
+        expectEndlessIsBounded(head + "Content-Length: 99999999999\r\n\r\n", long1k);
+        expectEndlessIsBounded(head + "\r\n", long1k);
+        expectEndlessIsBounded("", head + "Content-Length: 0\r\n\r\n");
+    }
+
+    /// Guards against a store or node that sends a body without end to a reader that needs it at once.
+    void endlessBodyIsNotReadWhole()
+    {
+        m_loop.run([this]() -> asio::awaitable<void> {
+            constexpr std::size_t limit = 1000000;
+            RawListener peer(m_loop.context);
+            EndlessPeer endless{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                "400\r\n" + std::string(1024, 'x') + "\r\n"};
+            asio::co_spawn(m_loop.context, endless.serve(peer), asio::detached);
+            auto answer = co_await exchange(peer.address());
+            CPPUNIT_ASSERT(answer.has_value());
+            const auto body = co_await wholeBody(std::move(*answer), limit);
+            CPPUNIT_ASSERT(body.has_error() && body.error() == TransferError::TruncatedAnswer);
+            while (!endless.closed) {
+                co_await asio::post(m_loop.context, asio::use_awaitable);
+            }
+            CPPUNIT_ASSERT(endless.sentBytes < limit + EndlessPeer::MaxInTransit);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_client.openConnections(peer.address()));
+        }());
+    }
+
+    /// Guards against a server that sends a second copy of an answer, before or after the next request on the
+    /// connection was sent: the next caller must get its own answer or an error.
+    void lateCopyOfAnAnswerReachesNoOtherRequest()
+    {
+        for (const bool beforeNext : {true, false}) {
+            m_loop.run([this, beforeNext]() -> asio::awaitable<void> {
+                RawListener peer(m_loop.context);
+                Event copySent(m_loop.context);
+                Event mayCopy(m_loop.context);
+                auto serve = [&]() -> asio::awaitable<void> {
+                    auto connection = co_await peer.accept();
+                    co_await connection.receive("\r\n\r\n");
+                    co_await connection.send(answerTo("id-1", "one"));
+                    co_await mayCopy.wait();
+                    if (beforeNext) {
+                        co_await connection.send(answerTo("id-1", "one"));
+                        copySent.set();
+                        connection = co_await peer.accept();
+                        co_await connection.receive("\r\n\r\n");
+                    } else {
+                        co_await connection.receive("\r\n\r\n");
+                        co_await connection.send(answerTo("id-1", "one"));
+                    }
+                    co_await connection.send(answerTo("id-2", "two"));
+                };
+                asio::co_spawn(m_loop.context, serve(), asio::detached);
+                const auto first = co_await exchangeWithId(peer.address(), "id-1");
+                CPPUNIT_ASSERT_EQUAL(std::string("one"), first->message.body());
+                mayCopy.set();
+                if (beforeNext) {
+                    co_await copySent.wait();
+                }
+                const auto second = co_await exchangeWithId(peer.address(), "id-2");
+                CPPUNIT_ASSERT_EQUAL(std::string("two"), second->message.body());
+                // A connection on which a copy was seen may bring more of them.
+                CPPUNIT_ASSERT(beforeNext || m_client.openConnections(peer.address()) == 0);
+            }());
+        }
+    }
+
 private:
+    /// Sends a text, and then another one again and again until the connection is closed.
+    struct EndlessPeer
+    {
+        /// What may be on its way in the socket buffers of both sides when the connection is closed.
+        static constexpr std::size_t MaxInTransit = 8UL * 1024 * 1024;
+
+        std::string first;
+        std::string repeated;
+        std::size_t sentBytes = 0;
+        bool closed = false;
+
+        asio::awaitable<void> serve(RawListener &listener)
+        {
+            std::string block;
+            while (block.size() < WholeBodyLimit) {
+                block += repeated;
+            }
+            auto connection = co_await listener.accept();
+            co_await connection.receive("\r\n\r\n");
+            try {
+                co_await connection.send(first);
+                while (true) {
+                    co_await connection.send(block);
+                    sentBytes += block.size();
+                }
+            } catch (const boost::system::system_error &) {
+                closed = true;
+            }
+        }
+    };
+
+    void expectEndlessIsBounded(const std::string &first, const std::string &repeated)
+    {
+        m_loop.run([&]() -> asio::awaitable<void> {
+            RawListener peer(m_loop.context);
+            EndlessPeer endless{first, repeated};
+            asio::co_spawn(m_loop.context, endless.serve(peer), asio::detached);
+            const auto startedAt = monotonicNow();
+            const auto answer = co_await exchangeWithId(peer.address(), "id-1");
+            CPPUNIT_ASSERT_MESSAGE(first + repeated, answer.has_error());
+            CPPUNIT_ASSERT_MESSAGE(first + repeated, monotonicNow() - startedAt < std::chrono::seconds(3));
+            while (!endless.closed) {
+                co_await asio::post(m_loop.context, asio::use_awaitable);
+            }
+            CPPUNIT_ASSERT_MESSAGE(first + repeated, endless.sentBytes < EndlessPeer::MaxInTransit);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_client.openConnections(peer.address()));
+        }());
+    }
+
+    static std::string answerTo(const std::string &id, const std::string &body)
+    {
+        return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: " + std::to_string(body.size())
+            + "\r\n\r\n" + body;
+    }
+
+    asio::awaitable<HttpClient::Result> exchangeWithId(Address address, const char *id)
+    {
+        auto request = makeRequest(boost::beast::http::verb::get, "/", "a");
+        request.message.set("Request-Id", id);
+        ExchangeOptions options;
+        options.deadline = monotonicNow() + std::chrono::seconds(5);
+        options.closeDelimited = true;
+        options.echoField = "Request-Id";
+        co_return co_await m_client.send(std::move(address), std::move(request), options);
+    }
+
     asio::awaitable<HttpClient::Result> exchange(Address address, Duration timeout = std::chrono::seconds(10),
                                                  Cancellation *cancellation = nullptr)
     {
--- a/tests/net/httpservertest.cpp
+++ b/tests/net/httpservertest.cpp
@@ -4,8 +4,11 @@
 
 #include "loop.h"
 
+#include <boost/asio/read.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <vector>
+
 namespace Geraniumsail {
 
 namespace {
@@ -23,6 +26,8 @@
     CPPUNIT_TEST(closedCallerCancelsItsRequest);
     CPPUNIT_TEST(failedRestNeverLooksWhole);
     CPPUNIT_TEST(stopWaitsForTheRequestInFlight);
+    CPPUNIT_TEST(stopServesConnectionsThatAreNotYetAccepted);
+    CPPUNIT_TEST(stopWaitsForTheFirstRequestOfAConnection);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -173,6 +178,48 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_server->connections());
     }
 
+    // Guards against a planned stop that resets connections in the listen queue, whose requests have already been sent.
+    void stopServesConnectionsThatAreNotYetAccepted()
+    {
+        start({}, echo());
+        asio::io_context callers;
+        std::vector<asio::ip::tcp::socket> sockets;
+        for (int i = 0; i < 5; ++i) {
+            sockets.emplace_back(callers).connect(*parseEndpoint(m_address.value()));
+            asio::write(sockets.back(), asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+        }
+        m_server->stop();
+        m_loop.run(m_server->finished());
+        CPPUNIT_ASSERT_EQUAL(5, m_handled);
+        for (auto &socket : sockets) {
+            std::string answer;
+            ErrorCode error;
+            asio::read(socket, asio::dynamic_buffer(answer), error);
+            CPPUNIT_ASSERT(error == asio::error::eof);
+            CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 200"));
+        }
+    }
+
+    // Guards against a planned stop that closes a connection whose first request is on its way.
+    void stopWaitsForTheFirstRequestOfAConnection()
+    {
+        start({}, echo());
+        m_loop.run([this]() -> asio::awaitable<void> {
+            RawConnection caller(m_loop.context);
+            co_await caller.connect(m_address);
+            while (m_server->connections() == 0) {
+                co_await asio::post(m_loop.context, asio::use_awaitable);
+            }
+            m_server->stop();
+            asio::steady_timer timer(m_loop.context, std::chrono::milliseconds(50));
+            co_await timer.async_wait(AsTuple);
+            co_await caller.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+            const auto answer = co_await caller.receiveAll();
+            CPPUNIT_ASSERT(answer.starts_with("HTTP/1.1 200"));
+            CPPUNIT_ASSERT(answer.find("Connection: close") != std::string::npos);
+        }());
+    }
+
     void tearDown() override
     {
         if (m_server) {
--- a/tests/platform/configurationtest.cpp
+++ b/tests/platform/configurationtest.cpp
@@ -30,6 +30,9 @@
     CPPUNIT_TEST(unresponsiveReadersDoNotDelayAVersion);
     CPPUNIT_TEST(versionArrivesInTimeAfterStoreOutage);
     CPPUNIT_TEST(staleProofIsReported);
+    CPPUNIT_TEST(entryChangesReachAllNodesThroughTheReader);
+    CPPUNIT_TEST(entriesAreFollowedAfterTheReaderStops);
+    CPPUNIT_TEST(revokedEntriesAreBackWithinTwoSeconds);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -58,9 +61,10 @@
         runFor(seconds(2));
         m_store->watches.clear();
         runFor(seconds(3));
-        // Two readers renew a watch every second. With watches of all nine nodes there would be about
+        // One reader renews its watch every second, or every four. With watches of all nine nodes there would be about
         // eleven calls.
-        CPPUNIT_ASSERT(m_store->watches["op/config"] <= 8);
+        CPPUNIT_ASSERT(m_store->watches["op/config"] <= 4);
+        CPPUNIT_ASSERT(m_store->watches["geraniumsail/nodes/"] <= 1);
         const auto startedAt = monotonicNow();
         m_store->put("op/config", configuration(8));
         m_loop->runUntil([&] { return allNodesHave(8); });
@@ -88,7 +92,7 @@
         }
         m_store->put("op/config", configuration(7));
         std::string name = "books-0";
-        for (int i = 1; ConfigurationSources(NodeName(name)).isReader(members); ++i) {
+        for (int i = 1; StoreReaders(NodeName(name)).isReader(members); ++i) {
             name = "books-" + std::to_string(i);
         }
         addNode(name);
@@ -119,21 +123,94 @@
     // Guards against a node without access to the store that keeps other nodes at its version.
     void staleProofIsReported()
     {
-        ConfigurationFeed feed(m_loop->context.get_executor());
+        StoreFeed feed(m_loop->context.get_executor());
         feed.publish(ConfigVersion(7), "text");
         CPPUNIT_ASSERT(!poll(feed, 7).proofAge);
         feed.recordProof(monotonicNow() - milliseconds(1500), 40);
         const auto startedAt = monotonicNow();
         const auto feedResponse = poll(feed, 7);
-        CPPUNIT_ASSERT(feedResponse.text.empty());
+        CPPUNIT_ASSERT(feedResponse.configuration.empty());
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(40), feedResponse.revision);
         // The request is held only until the proof is too old.
-        CPPUNIT_ASSERT(feedResponse.proofAge >= ConfigurationSources::MaxProofAge);
+        CPPUNIT_ASSERT(feedResponse.proofAge >= StoreReaders::MaxProofAge);
         CPPUNIT_ASSERT(monotonicNow() - startedAt < milliseconds(400));
-        CPPUNIT_ASSERT_EQUAL(std::string("text"), poll(feed, 6).text);
+        CPPUNIT_ASSERT_EQUAL(std::string("text"), poll(feed, 6).configuration);
+    }
+
+    // Guards against store calls at every node for each change of an entry, and against a follower that misses a
+    // change.
+    void entryChangesReachAllNodesThroughTheReader()
+    {
+        startFleet();
+        runFor(seconds(2));
+        m_store->calls.clear();
+        for (std::uint64_t round = 2; round < 6; ++round) {
+            m_nodes[round]->announce(UpstreamPhase::Draining, round);
+            const auto changedAt = monotonicNow();
+            m_loop->runUntil([&] { return allNodesSee(*m_nodes[round], UpstreamPhase::Draining); });
+            CPPUNIT_ASSERT(monotonicNow() - changedAt < seconds(1));
+        }
+        // Each change is one write and at most one call of the reader. With a watch at each of nine nodes there would
+        // be 36 calls.
+        CPPUNIT_ASSERT(m_store->calls["/kv-watch"] + m_store->calls["/kv-range"] <= 10);
+    }
+
+    // Guards against nodes that keep an old view because the node that they follow has gone.
+    void entriesAreFollowedAfterTheReaderStops()
+    {
+        startFleet();
+        runFor(seconds(2));
+        std::vector<NodeName> members;
+        for (const auto &node : m_nodes) {
+            members.push_back(node->relay.settings().node);
+        }
+        const auto reader = std::find_if(m_nodes.begin(), m_nodes.end(), [&](const auto &node) {
+            return !StoreReaders(node->relay.settings().node).choose(members, monotonicNow());
+        });
+        CPPUNIT_ASSERT(reader != m_nodes.end());
+        (*reader)->relay.beginStop();
+        bool stopped = false;
+        asio::co_spawn(m_loop->context, (*reader)->relay.stopped(),
+                       [&stopped](const std::exception_ptr &) { stopped = true; });
+        m_loop->runUntil([&] { return stopped; });
+        const auto changed =
+            std::find_if(m_nodes.begin(), m_nodes.end(), [&](const auto &node) { return node != *reader; });
+        (*changed)->announce(UpstreamPhase::Draining, 2);
+        const auto changedAt = monotonicNow();
+        m_loop->runUntil([&] {
+            return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto &node) {
+                return node == *reader || sees(*node, **changed, UpstreamPhase::Draining);
+            });
+        });
+        CPPUNIT_ASSERT(monotonicNow() - changedAt < milliseconds(2500));
+    }
+
+    // Guards against entries that stay away after the store revoked all leases, although their nodes live: the nodes
+    // renew their leases seldom and must learn of it from the changes that they follow.
+    void revokedEntriesAreBackWithinTwoSeconds()
+    {
+        startFleet();
+        runFor(seconds(2));
+        m_store->revokeLeases();
+        const auto revokedAt = monotonicNow();
+        m_loop->runUntil([&] {
+            return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto &node) {
+                return m_store->has("geraniumsail/nodes/" + node->relay.settings().node.value());
+            });
+        });
+        CPPUNIT_ASSERT(monotonicNow() - revokedAt < seconds(2));
     }
 
 private:
+    static bool sees(const FleetNode &node, const FleetNode &other, UpstreamPhase phase)
+    {
+        const auto *known = node.relay.findEntry(other.relay.settings().node);
+        return known != nullptr && known->entry.phase == phase;
+    }
+    bool allNodesSee(const FleetNode &other, UpstreamPhase phase) const
+    {
+        return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto &node) { return sees(*node, other, phase); });
+    }
     void addNode(const std::string &name)
     {
         m_nodes.push_back(std::make_unique<FleetNode>(m_loop->context, m_store->address(), name, "books"));
@@ -158,19 +235,19 @@
         const auto end = monotonicNow() + time;
         m_loop->runUntil([end] { return monotonicNow() >= end; });
     }
-    FeedResponse poll(ConfigurationFeed &feed, std::uint64_t after)
+    FeedResponse poll(StoreFeed &feed, std::uint64_t after)
     {
         std::optional<FeedResponse> feedResponse;
         asio::co_spawn(m_loop->context, pollInto(feed, after, feedResponse), asio::detached);
         m_loop->runUntil([&] { return feedResponse.has_value(); });
         return *feedResponse;
     }
-    static asio::awaitable<void> pollInto(ConfigurationFeed &feed, std::uint64_t after,
+    static asio::awaitable<void> pollInto(StoreFeed &feed, std::uint64_t after,
                                           std::optional<FeedResponse> &feedResponse)
     {
-        auto request = ConfigurationFeed::buildRequest(Address("127.0.0.1:1"), ConfigVersion(after), milliseconds(300));
+        auto request = StoreFeed::buildRequest(Address("127.0.0.1:1"), {ConfigVersion(after), 0}, milliseconds(300));
         auto response = co_await feed.respond(std::move(request));
-        feedResponse = co_await ConfigurationFeed::readResponse(std::move(response));
+        feedResponse = co_await StoreFeed::readResponse(std::move(response));
     }
 
     std::unique_ptr<Loop> m_loop;
--- a/tests/platform/decodingtest.cpp
+++ b/tests/platform/decodingtest.cpp
@@ -1,7 +1,7 @@
 // Tests the decoders of the platform adapter: values, configuration, reports of the upstream and settings.
+#include "config/jsonfields.h"
 #include "platform/announcements.h"
 #include "platform/configuration.h"
-#include "platform/fields.h"
 #include "platform/settings.h"
 #include "platform/values.h"
 
@@ -30,6 +30,14 @@
     return text.replace(at, what.size(), by);
 }
 
+/// December 2026.
+constexpr WallTime Now(std::chrono::seconds(1796000000));
+
+Announcement decode(const HttpRequestMessage &message)
+{
+    return decodeAnnouncement(message, Now);
+}
+
 HttpRequestMessage call(const std::string &target, const std::string &body)
 {
     auto request = makeRequest(boost::beast::http::verb::post, target, "node", body);
@@ -42,9 +50,11 @@
     CPPUNIT_TEST(durationsAndVersions);
     CPPUNIT_TEST(base64RoundTrip);
     CPPUNIT_TEST(validConfiguration);
+    CPPUNIT_TEST(uploadRouteIsAtMostOnce);
     CPPUNIT_TEST(invalidConfigurationIsRejected);
     CPPUNIT_TEST(heartbeat);
     CPPUNIT_TEST(malformedHeartbeatsAreRejected);
+    CPPUNIT_TEST(hostileHeartbeatsAreRejected);
     CPPUNIT_TEST(settings);
     CPPUNIT_TEST_SUITE_END();
 
@@ -96,6 +106,16 @@
         CPPUNIT_ASSERT(table.service(ServiceName("s2"))->maxConnections == Connections(202));
     }
 
+    // Guards against a route type that is unknown to the node, which makes the whole configuration invalid, and against
+    // uploads that are run twice.
+    void uploadRouteIsAtMostOnce()
+    {
+        const auto document = decodeConfiguration(replaced(Configuration, "\"download\"", "\"upload\""));
+        CPPUNIT_ASSERT_EQUAL(std::string(), document.problem);
+        const auto *uploadRoute = document.table->match("a.example", "/y/1");
+        CPPUNIT_ASSERT(uploadRoute != nullptr && uploadRoute->repeatability == Repeatability::AtMostOnce);
+    }
+
     // Guards against a configuration that takes effect in part.
     void invalidConfigurationIsRejected()
     {
@@ -118,7 +138,7 @@
 
     void heartbeat()
     {
-        const auto decoded = decodeAnnouncement(
+        const auto decoded = decode(
             call("/rpc?call=instances.heartbeat&of=i-7",
                  R"({"service":"s1","address":"10.0.0.9:80","zone":"z","version":"v1","slots":54,"state":"draining",
                  "cold_remaining":"1.5s","sequence":4,"born":1700000000123})"));
@@ -127,10 +147,10 @@
         CPPUNIT_ASSERT(report.slots == Slots(54) && report.sequence == 4);
         CPPUNIT_ASSERT(report.startedMs == 1700000000123);
         CPPUNIT_ASSERT(report.coldRemaining == std::chrono::milliseconds(1500));
-        const auto deregistration = decodeAnnouncement(call("/rpc?call=instances.deregister&of=i-7", "{\"born\":5}"));
+        const auto deregistration = decode(call("/rpc?call=instances.deregister&of=i-7", "{\"born\":5}"));
         CPPUNIT_ASSERT(std::get<DeregistrationReport>(deregistration).startedMs == 5);
-        CPPUNIT_ASSERT(std::holds_alternative<DeregistrationReport>(
-            decodeAnnouncement(call("/rpc?call=instances.deregister&of=i-7", ""))));
+        CPPUNIT_ASSERT(
+            std::holds_alternative<DeregistrationReport>(decode(call("/rpc?call=instances.deregister&of=i-7", ""))));
     }
 
     // Guards against a malformed heartbeat of another sender that makes the node use a wrong upstream.
@@ -139,16 +159,43 @@
         const std::string good =
             R"({"service":"s1","address":"10.0.0.9:80","slots":54,"state":"ready","sequence":4,"born":1})";
         const std::string target = "/rpc?call=instances.heartbeat&of=i-7";
-        CPPUNIT_ASSERT(std::holds_alternative<UpstreamReport>(decodeAnnouncement(call(target, good))));
+        CPPUNIT_ASSERT(std::holds_alternative<UpstreamReport>(decode(call(target, good))));
         for (const auto &body :
              {std::string("{"), std::string("[]"), std::string("\xff\xfe"), replaced(good, "54", "\"54\""),
               replaced(good, "54", "0"), replaced(good, "54", "-3"), replaced(good, "\"ready\"", "\"idle\""),
               replaced(good, "\"sequence\":4,", ""), replaced(good, "\"10.0.0.9:80\"", "7")}) {
-            CPPUNIT_ASSERT(std::holds_alternative<InvalidReport>(decodeAnnouncement(call(target, body))));
+            CPPUNIT_ASSERT(std::holds_alternative<InvalidReport>(decode(call(target, body))));
+        }
+        CPPUNIT_ASSERT(std::holds_alternative<InvalidReport>(decode(call("/rpc?call=instances.heartbeat", good))));
+        CPPUNIT_ASSERT(std::holds_alternative<InvalidReport>(decode(call("/other", good))));
+    }
+
+    // Guards against a heartbeat of another sender that has the form of a good one, but values that no upstream has:
+    // one accepted start time or sequence number in the far future would make all later heartbeats of the upstream
+    // stale, and an id with separators cannot be passed on to other nodes.
+    void hostileHeartbeatsAreRejected()
+    {
+        const std::string good =
+            R"({"service":"s1","address":"10.0.0.9:80","slots":54,"state":"ready","sequence":4,"born":1700000000123})";
+        const std::string target = "/rpc?call=instances.heartbeat&of=i-7";
+        CPPUNIT_ASSERT(std::holds_alternative<UpstreamReport>(decode(call(target, good))));
+        const std::string nested = std::string(30000, '[') + std::string(30000, ']');
+        for (const auto &body :
+             {replaced(good, "10.0.0.9:80", "10.0.0.9:65536"), replaced(good, "10.0.0.9:80", "10.0.0.9:0"),
+              replaced(good, "10.0.0.9:80", "nowhere"), replaced(good, "1700000000123", "9223372036854775807"),
+              replaced(good, "1700000000123", "1796003601000"), replaced(good, "1700000000123", "1e30"),
+              replaced(good, "1700000000123", "-5"),
+              replaced(good, "\"sequence\":4", "\"sequence\":18446744073709551615"),
+              replaced(good, "\"sequence\":4", "\"sequence\":1e400"), replaced(good, "54", "1e10"),
+              replaced(good, "54", nested), nested}) {
+            CPPUNIT_ASSERT(std::holds_alternative<InvalidReport>(decode(call(target, body))));
+        }
+        for (const auto *id : {"a;b", "a%0d", "\xff\xfe", "a/b"}) {
+            for (const std::string method : {"heartbeat", "deregister"}) {
+                const auto odd = "/rpc?call=instances." + method + "&of=" + id;
+                CPPUNIT_ASSERT(std::holds_alternative<InvalidReport>(decode(call(odd, good))));
+            }
         }
-        CPPUNIT_ASSERT(
-            std::holds_alternative<InvalidReport>(decodeAnnouncement(call("/rpc?call=instances.heartbeat", good))));
-        CPPUNIT_ASSERT(std::holds_alternative<InvalidReport>(decodeAnnouncement(call("/other", good))));
     }
 
     // Guards against a node that starts with misread settings.
--- a/tests/platform/fakestore.cpp
+++ b/tests/platform/fakestore.cpp
@@ -6,7 +6,6 @@
 namespace Geraniumsail {
 
 namespace asio = boost::asio;
-using Platform::Json;
 
 namespace {
 
@@ -19,6 +18,20 @@
     return makeResponse(status, "application/json", body.dump());
 }
 
+std::string percentDecoded(std::string_view text)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '%' && i + 2 < text.size()) {
+            decoded += static_cast<char>(std::stoi(std::string(text.substr(i + 1, 2)), nullptr, 16));
+            i += 2;
+        } else {
+            decoded += text[i];
+        }
+    }
+    return decoded;
+}
+
 std::map<std::string, std::string> queryParameters(std::string_view target)
 {
     std::map<std::string, std::string> query;
@@ -26,7 +39,7 @@
     if (queryStart != std::string_view::npos) {
         for (const auto parameter : splitText(target.substr(queryStart + 1), '&')) {
             const auto equals = parameter.find('=');
-            query[std::string(parameter.substr(0, equals))] = std::string(parameter.substr(equals + 1));
+            query[std::string(parameter.substr(0, equals))] = percentDecoded(parameter.substr(equals + 1));
         }
     }
     return query;
@@ -108,7 +121,7 @@
         co_return read(query["key"]);
     }
     if (path == "/kv-range") {
-        co_return range(query["prefix"]);
+        co_return range(query["prefix"], query["after"]);
     }
     if (path == "/kv-watch") {
         const auto after = parseNumber<std::uint64_t>(query["after"]).value_or(0);
@@ -120,8 +133,8 @@
         co_return co_await transact(request.message.body());
     }
     if (path == "/kv-lease") {
-        const auto body = Platform::parseJson(request.message.body());
-        const auto lifetime = Platform::parseDuration(Platform::stringField(body, "ttl_time").value_or(""));
+        const auto body = parseJson(request.message.body());
+        const auto lifetime = Platform::parseDuration(stringField(body, "ttl_time").value_or(""));
         const auto lease = ++m_nextLease;
         m_leases[lease] = {monotonicNow() + lifetime.value_or(Duration(0)), lifetime.value_or(Duration(0))};
         co_return json(200, Json{{"lease", lease}, {"ttl_time", Platform::formatDuration(*lifetime)}});
@@ -154,15 +167,21 @@
                      {"at", m_revision}});
 }
 
-HttpResponse FakeStore::range(const std::string &prefix) const
+HttpResponse FakeStore::range(const std::string &prefix, const std::string &after) const
 {
     auto items = Json::array();
+    bool hasMore = false;
     for (const auto &[key, item] : m_items) {
-        if (key.starts_with(prefix)) {
-            items.push_back(Json{{"key", key}, {"value", item.value}, {"revision", item.revision}});
+        if (!key.starts_with(prefix) || key <= after) {
+            continue;
+        }
+        hasMore = items.size() == pageSize;
+        if (hasMore) {
+            break;
         }
+        items.push_back(Json{{"key", key}, {"value", item.value}, {"revision", item.revision}});
     }
-    return json(200, Json{{"items", items}, {"has_more", false}, {"at", m_revision}});
+    return json(200, Json{{"items", items}, {"has_more", hasMore}, {"at", m_revision}});
 }
 
 asio::awaitable<HttpResponse> FakeStore::watch(std::string prefix, std::uint64_t after, int waitMs)
@@ -193,20 +212,20 @@
 
 asio::awaitable<HttpResponse> FakeStore::transact(std::string body)
 {
-    const auto request = Platform::parseJson(body);
-    for (const auto &row : Platform::arrayField(request, "expected_rev")) {
-        const auto item = m_items.find(*Platform::stringField(row, "key"));
+    const auto request = parseJson(body);
+    for (const auto &row : arrayField(request, "expected_rev")) {
+        const auto item = m_items.find(*stringField(row, "key"));
         const auto present = item == m_items.end() ? 0 : item->second.revision;
-        if (present != *Platform::unsignedField(row, "revision")) {
+        if (present != *unsignedField(row, "revision")) {
             co_return json(412, Json{{"items", Json::array()}});
         }
     }
-    for (const auto &put : Platform::arrayField(request, "puts")) {
-        const auto lease = Platform::unsignedField(put, "lease").value_or(0);
+    for (const auto &put : arrayField(request, "puts")) {
+        const auto lease = unsignedField(put, "lease").value_or(0);
         if (lease != 0 && !m_leases.contains(lease)) {
             co_return json(404, Json::object());
         }
-        change(*Platform::stringField(put, "key"), *Platform::stringField(put, "value"), lease);
+        change(*stringField(put, "key"), *stringField(put, "value"), lease);
     }
     const auto revision = m_revision;
     if (lostWriteResponses > 0) {
--- a/tests/platform/fakestore.h
+++ b/tests/platform/fakestore.h
@@ -2,9 +2,9 @@
 #ifndef GERANIUMSAIL_TESTS_PLATFORM_FAKESTORE_H
 #define GERANIUMSAIL_TESTS_PLATFORM_FAKESTORE_H
 
+#include "config/jsonfields.h"
 #include "net/clock.h"
 #include "net/httpserver.h"
-#include "platform/fields.h"
 #include "platform/values.h"
 
 #include <boost/asio/io_context.hpp>
@@ -37,6 +37,7 @@
     void compact();
 
     bool unavailable = false; ///< Every request gets 503.
+    std::size_t pageSize = 500; ///< Items in one range response.
     int lostWriteResponses = 0; ///< Number of next writes that take effect but get no response in time.
     std::map<std::string, int> calls; ///< By path.
     std::map<std::string, int> watches; ///< By prefix.
@@ -51,7 +52,7 @@
 
     boost::asio::awaitable<HttpResponse> handle(HttpRequest request);
     HttpResponse read(const std::string &key) const;
-    HttpResponse range(const std::string &prefix) const;
+    HttpResponse range(const std::string &prefix, const std::string &after) const;
     boost::asio::awaitable<HttpResponse> watch(std::string prefix, std::uint64_t after, int waitMs);
     boost::asio::awaitable<HttpResponse> transact(std::string body);
     void change(const std::string &key, const std::string &base64, std::uint64_t lease);
@@ -62,7 +63,7 @@
     HttpServer m_server;
     Address m_address;
     std::map<std::string, Item> m_items;
-    std::vector<Platform::Json> m_history;
+    std::vector<Json> m_history;
     std::map<std::uint64_t, std::pair<MonotonicTime, Duration>> m_leases; ///< Expiry and lifetime by lease.
     std::uint64_t m_revision = 1;
     std::uint64_t m_compactedAt = 0;
--- a/tests/platform/fleet.h
+++ b/tests/platform/fleet.h
@@ -10,8 +10,11 @@
 #include "relay/relay.h"
 #include "relay/storefollower.h"
 
+#include <unistd.h>
+
 #include <functional>
 #include <memory>
+#include <stdexcept>
 
 namespace Geraniumsail {
 
@@ -79,11 +82,12 @@
 };
 
 /// A node and the upstream beside it.
-class FleetNode
+template <MetadataStore Store>
+class BasicFleetNode
 {
 public:
-    FleetNode(boost::asio::io_context &context, const Address &storeAddress, const std::string &name,
-              const std::string &serviceName)
+    BasicFleetNode(boost::asio::io_context &context, const Address &storeAddress, const std::string &name,
+                   const std::string &serviceName)
         : upstream(context, name), store(context.get_executor(), storeAddress),
           relay(context, settingsFor(storeAddress, name, serviceName, upstream.address), Platform::headerNames(),
                 [](HttpRequest, RequestScope &) -> boost::asio::awaitable<HttpResponse> {
@@ -95,7 +99,7 @@
         follower.start();
     }
 
-    void announce(UpstreamPhase phase, std::uint64_t sequence)
+    void announce(UpstreamPhase phase, std::uint64_t sequence, std::int64_t startedMs = 1)
     {
         UpstreamReport report;
         report.id = UpstreamId("i-" + relay.settings().node.value());
@@ -104,14 +108,14 @@
         report.slots = Slots(8);
         report.phase = phase;
         report.sequence = sequence;
-        report.startedMs = 1;
+        report.startedMs = startedMs;
         relay.onUpstreamReport(report);
     }
 
     FakeUpstream upstream;
-    Platform::KvStore store;
+    Store store;
     Relay relay;
-    StoreFollower<Platform::KvStore> follower;
+    StoreFollower<Store> follower;
 
 private:
     /// The node listens for callers on 127.0.0.3. Callers connect from 127.0.0.1, so that the node does not mistake
@@ -133,14 +137,29 @@
         settings.metricsListen = freeAddress("127.0.0.1");
         return settings;
     }
+    /// Takes ports below those that the system gives to outgoing connections, which could take a port between this call
+    /// and the start of the listener.
     static Address freeAddress(const std::string &host)
     {
+        constexpr std::uint32_t firstPort = 12000;
+        constexpr std::uint32_t portCount = 18000;
+        static std::uint32_t next = static_cast<std::uint32_t>(::getpid()) * 997U;
         boost::asio::io_context context;
-        const boost::asio::ip::tcp::acceptor acceptor(context, *parseEndpoint(host + ":0"));
-        return Address(host + ":" + std::to_string(acceptor.local_endpoint().port()));
+        for (std::uint32_t i = 0; i < portCount; ++i) {
+            const auto address = host + ":" + std::to_string(firstPort + next++ % portCount);
+            boost::asio::ip::tcp::acceptor acceptor(context, boost::asio::ip::tcp::v4());
+            ErrorCode error;
+            acceptor.bind(*parseEndpoint(address), error);
+            if (!error) {
+                return Address(address);
+            }
+        }
+        throw std::runtime_error("no free port");
     }
 };
 
+using FleetNode = BasicFleetNode<Platform::KvStore>;
+
 } // namespace Geraniumsail
 
 #endif
--- a/tests/platform/fleettest.cpp
+++ b/tests/platform/fleettest.cpp
@@ -1,6 +1,8 @@
 // Tests of complete nodes with a fake store, fake upstreams and test callers.
 #include "fleet.h"
 
+#include "relay/entrycodec.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace Geraniumsail {
@@ -31,12 +33,15 @@
     CPPUNIT_TEST(rejectedRequestIsReportedAsNotRun);
     CPPUNIT_TEST(notRunStatusNeedsConfirmationOfUpstream);
     CPPUNIT_TEST(drainingUpstreamReceivesNoRequests);
+    CPPUNIT_TEST(restartedNodeRemembersThatItsUpstreamLeft);
     CPPUNIT_TEST(onlyNewerValidConfigurationIsApplied);
     CPPUNIT_TEST(servesRequestsWhileStoreIsUnavailable);
     CPPUNIT_TEST(revokedEntryIsRepublishedWithinTwoSeconds);
     CPPUNIT_TEST(entryIsStoredDespiteLostWriteResponse);
     CPPUNIT_TEST(configurationIsReadAfterHistoryCompaction);
     CPPUNIT_TEST(invalidEntriesAreIgnored);
+    CPPUNIT_TEST(entriesAreFollowedDespiteOddKeys);
+    CPPUNIT_TEST(overwrittenEntryIsRestored);
     CPPUNIT_TEST(callerDisconnectCancelsUpstreamRequest);
     CPPUNIT_TEST(responseIsSentAtRouteTimeout);
     CPPUNIT_TEST(responseToAnotherRequestIsRejected);
@@ -155,6 +160,42 @@
         CPPUNIT_ASSERT(m_books->upstream.receivedRequests.empty());
     }
 
+    // Guards against a restarted node that takes a delayed report for news: the earlier process had acknowledged that
+    // the upstream left. A later incarnation with the same id is not concerned.
+    void restartedNodeRemembersThatItsUpstreamLeft()
+    {
+        for (const bool reportComesFirst : {false, true}) {
+            DirectoryEntry left;
+            left.node = NodeName("books-1");
+            left.nodeStartedMs = 1;
+            left.peer = m_books->relay.settings().peerListen;
+            left.dataCentre = DataCentreName("dc1");
+            left.region = RegionName("r1");
+            left.service = ServiceName("books");
+            left.upstream = UpstreamId("i-books-1");
+            left.upstreamStartedMs = 1;
+            left.upstreamLeft = true;
+            left.phase = UpstreamPhase::Gone;
+            left.slots = Slots(8);
+            m_store->put("geraniumsail/nodes/books-1", encodeEntry(left));
+            m_store->put("op/config", configuration(7, "books", m_timeout));
+            if (!reportComesFirst) {
+                m_loop->runUntil([&] { return readinessStatus(*m_books) == 200; });
+                runFor(milliseconds(300));
+            }
+            m_books->announce(UpstreamPhase::Ready, 1);
+            m_charts->announce(UpstreamPhase::Ready, 1);
+            runFor(milliseconds(500));
+            CPPUNIT_ASSERT_EQUAL(503U, send(*m_charts, post("/once/")).message.result_int());
+            CPPUNIT_ASSERT_EQUAL(503U, send(*m_books, post("/once/")).message.result_int());
+            CPPUNIT_ASSERT(m_books->upstream.receivedRequests.empty());
+            m_books->announce(UpstreamPhase::Ready, 1, 2);
+            m_loop->runUntil([&] { return send(*m_charts, post("/once/")).message.result_int() == 200; });
+            tearDown();
+            setUp();
+        }
+    }
+
     void onlyNewerValidConfigurationIsApplied()
     {
         startServing();
@@ -224,6 +265,35 @@
         CPPUNIT_ASSERT_EQUAL(200U, get(*m_charts, "/safe/").message.result_int());
     }
 
+    // Guards against a node that stops following the entries because the key of another writer's entry, at the end of a
+    // page, cannot be put into the next request as it is.
+    void entriesAreFollowedDespiteOddKeys()
+    {
+        m_store->pageSize = 1;
+        for (const auto *key : {"a b", "a&after=", "a?#%41", "\xc3\xa9\x01"}) {
+            m_store->put(std::string("geraniumsail/nodes/") + key, std::string(100000, '['));
+        }
+        startServing();
+        m_store->compact();
+        m_books->announce(UpstreamPhase::Draining, 2);
+        m_loop->runUntil([&] { return get(*m_charts, "/safe/").message.result_int() == 503; });
+        CPPUNIT_ASSERT(m_charts->relay.knownEntries() == 2);
+    }
+
+    // Guards against an upstream that stays unknown to other nodes after another writer overwrote its entry.
+    void overwrittenEntryIsRestored()
+    {
+        startServing();
+        const auto before = m_store->valueOf("geraniumsail/nodes/books-1");
+        for (const auto *value : {"not json", "{\"node\":\"books-1\"}"}) {
+            m_store->put("geraniumsail/nodes/books-1", value);
+            const auto overwritten = monotonicNow();
+            m_loop->runUntil([&] { return m_store->valueOf("geraniumsail/nodes/books-1") == before; });
+            CPPUNIT_ASSERT(monotonicNow() - overwritten < seconds(2));
+        }
+        CPPUNIT_ASSERT_EQUAL(200U, get(*m_charts, "/safe/").message.result_int());
+    }
+
     // Guards against an upstream that keeps working after the caller disconnected. Both nodes pass on the cancellation.
     void callerDisconnectCancelsUpstreamRequest()
     {
--- a/tests/relay/attemptcodectest.cpp
+++ b/tests/relay/attemptcodectest.cpp
@@ -31,12 +31,14 @@
 {
     CPPUNIT_TEST_SUITE(AttemptCodecTest);
     CPPUNIT_TEST(contextRoundTrip);
+    CPPUNIT_TEST(valuesWithSeparatorsRoundTrip);
     CPPUNIT_TEST(malformedContextIsRejected);
     CPPUNIT_TEST(resultRoundTrip);
     CPPUNIT_TEST(responseWithoutResultIsUnknown);
     CPPUNIT_TEST(refusalByNodeServerIsNotDelivered);
     CPPUNIT_TEST(entryRoundTrip);
     CPPUNIT_TEST(malformedEntryIsRejected);
+    CPPUNIT_TEST(hostileEntryIsRejected);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -55,6 +57,24 @@
         CPPUNIT_ASSERT(decoded->maxWait == context.maxWait && decoded->configVersion == context.configVersion);
     }
 
+    // Guards against a request id or route name that changes the number of values in the context, so that the target
+    // node rejects the request as malformed, and against one that adds header fields.
+    void valuesWithSeparatorsRoundTrip()
+    {
+        auto context = sampleContext();
+        context.requestId = RequestId("a;b%3bc");
+        context.route = RouteName("r;1\r\nHost: other");
+        context.service = ServiceName("\xc3\xa9;");
+        HttpRequestMessage message;
+        writeContext(context, message);
+        const auto decoded = readContext(message);
+        CPPUNIT_ASSERT(decoded.has_value());
+        CPPUNIT_ASSERT(decoded->requestId == context.requestId && decoded->route == context.route
+                       && decoded->service == context.service);
+        const auto text = std::string(message[std::string("Geraniumsail-Attempt")]);
+        CPPUNIT_ASSERT(text.find_first_of("\r\n") == std::string::npos);
+    }
+
     // Guards against a request that runs with limits that the entry node did not send.
     void malformedContextIsRejected()
     {
@@ -145,6 +165,41 @@
             CPPUNIT_ASSERT(!decodeEntry(truncated));
         }
     }
+
+    // Guards against an entry of another writer that has the form of a good one, but values that cannot be used:
+    // numbers beyond the range of their type, ports that do not exist, very deep nesting.
+    void hostileEntryIsRejected()
+    {
+        DirectoryEntry entry;
+        entry.node = NodeName("n1");
+        entry.peer = Address("10.0.0.9:7620");
+        entry.service = ServiceName("bookings");
+        entry.upstream = UpstreamId("i-1");
+        entry.slots = Slots(54);
+        const auto good = encodeEntry(entry);
+        CPPUNIT_ASSERT(decodeEntry(good).has_value());
+        const auto withField = [&good](const std::string &name, const std::string &value) {
+            const auto start = good.find('"' + name + "\":") + name.size() + 3;
+            return std::string(good).replace(start, good.find_first_of(",}", start) - start, value);
+        };
+        const std::string nested = std::string(200000, '[') + std::string(200000, ']');
+        for (const auto *number : {"-1", "1.5", "1e30", "1e999", "99999999999999999999999", "4294967296", "\"54\""}) {
+            CPPUNIT_ASSERT_MESSAGE(number, !decodeEntry(withField("slots", number)));
+        }
+        for (const auto *number : {"-1", "1e30", "1e999", "9223372036854775807"}) {
+            CPPUNIT_ASSERT_MESSAGE(number, !decodeEntry(withField("coldUs", number)));
+            CPPUNIT_ASSERT_MESSAGE(number, !decodeEntry(withField("nodeStartedMs", number)));
+        }
+        for (const auto *peer :
+             {"\"10.0.0.9:65536\"", "\"10.0.0.9:0\"", "\"10.0.0.9:-1\"", "\"10.0.0.9\"", "\"\"", "7"}) {
+            CPPUNIT_ASSERT_MESSAGE(peer, !decodeEntry(withField("peer", peer)));
+        }
+        for (const auto *upstream : {"\"a;b\"", "\"a\\r\\nb\"", "\"\""}) {
+            CPPUNIT_ASSERT_MESSAGE(upstream, !decodeEntry(withField("upstream", upstream)));
+        }
+        CPPUNIT_ASSERT(!decodeEntry(withField("slots", nested)));
+        CPPUNIT_ASSERT(!decodeEntry(nested));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AttemptCodecTest);
