--- a/src/core/upstreamgate.cpp
+++ b/src/core/upstreamgate.cpp
@@ -1,5 +1,7 @@
 #include "core/upstreamgate.h"
 
+#include <algorithm>
+
 namespace Geraniumsail {
 
 const char *phaseLabel(UpstreamPhase phase)
@@ -39,32 +41,47 @@
     if (finalPhase != m_finalPhases.end()) {
         applied.phase = finalPhase->second;
     } else if (report.phase != UpstreamPhase::Ready) {
-        m_finalPhases.emplace(key, report.phase);
+        recordFinalPhase(key, report.phase);
     }
     m_known = KnownUpstream{applied, now + applied.coldRemaining, now};
     m_unreachable = false;
     return ReportVerdict::Applied;
 }
 
+void UpstreamGate::recordFinalPhase(const IncarnationKey &key, UpstreamPhase phase)
+{
+    m_finalPhases.insert_or_assign(key, phase);
+    if (m_finalPhases.size() > MaxFinalPhases) {
+        const auto startedEarlier = [](const auto &left, const auto &right) {
+            return left.first.second < right.first.second;
+        };
+        m_finalPhases.erase(std::min_element(m_finalPhases.begin(), m_finalPhases.end(), startedEarlier));
+    }
+}
+
 ReportVerdict UpstreamGate::onLeave(const UpstreamId &id, std::int64_t startedMs)
 {
     if (!m_known || m_known->report.id != id) {
-        m_finalPhases.insert_or_assign({id, startedMs}, UpstreamPhase::Gone);
+        recordFinalPhase({id, startedMs}, UpstreamPhase::Gone);
         return ReportVerdict::Stale;
     }
     auto &current = m_known->report;
     if (startedMs != 0 && startedMs != current.startedMs) {
-        m_finalPhases.insert_or_assign({id, startedMs}, UpstreamPhase::Gone);
+        recordFinalPhase({id, startedMs}, UpstreamPhase::Gone);
         return ReportVerdict::Stale;
     }
     current.phase = UpstreamPhase::Gone;
-    m_finalPhases.insert_or_assign({id, current.startedMs}, UpstreamPhase::Gone);
+    recordFinalPhase({id, current.startedMs}, UpstreamPhase::Gone);
     return ReportVerdict::Applied;
 }
 
 bool UpstreamGate::restoreLeave(const UpstreamId &id, std::int64_t startedMs)
 {
-    const bool isNew = m_finalPhases.emplace(IncarnationKey(id, startedMs), UpstreamPhase::Draining).second;
+    const IncarnationKey key(id, startedMs);
+    const bool isNew = !m_finalPhases.contains(key);
+    if (isNew) {
+        recordFinalPhase(key, UpstreamPhase::Draining);
+    }
     if (isNew && m_known && m_known->report.id == id && m_known->report.startedMs == startedMs) {
         m_known->report.phase = UpstreamPhase::Draining;
     }
--- a/src/core/upstreamgate.h
+++ b/src/core/upstreamgate.h
@@ -84,11 +84,19 @@
     }
     /// The gate closes if no report arrives for this time.
     static constexpr Duration ReportLifetime = std::chrono::seconds(12);
+    /// Number of incarnations whose leaving is remembered. Those that started first are forgotten first.
+    static constexpr std::size_t MaxFinalPhases = 256;
+    std::size_t rememberedLeaves() const
+    {
+        return m_finalPhases.size();
+    }
 
 private:
     /// Id and start time, because an id may be reused.
     using IncarnationKey = std::pair<UpstreamId, std::int64_t>;
 
+    void recordFinalPhase(const IncarnationKey &key, UpstreamPhase phase);
+
     ServiceName m_service;
     Address m_address;
     std::optional<KnownUpstream> m_known;
--- a/src/relay/storefollower.h
+++ b/src/relay/storefollower.h
@@ -288,7 +288,7 @@
                 changes = co_await m_store.watchEntries(known, wait);
             }
             if (!changes) {
-                if (m_followsNode) {
+                if (m_followsNode && known != 0) {
                     // The watch was cancelled in favour of the other node.
                     continue;
                 }
--- a/tests/core/upstreamgatetest.cpp
+++ b/tests/core/upstreamgatetest.cpp
@@ -36,6 +36,8 @@
     CPPUNIT_TEST(laterIncarnationWithSameIdOpensTheGate);
     CPPUNIT_TEST(foreignReportsAreIgnored);
     CPPUNIT_TEST(gateClosesWithoutReports);
+    CPPUNIT_TEST(rememberedLeavesAreBounded);
+    CPPUNIT_TEST(earlierLeaveClosesTheGate);
     CPPUNIT_TEST(reportOrderDoesNotMatter);
     CPPUNIT_TEST_SUITE_END();
 
@@ -100,6 +102,31 @@
         CPPUNIT_ASSERT(m_gate.availableUpstream(m_now + UpstreamGate::ReportLifetime + seconds(1)) == nullptr);
     }
 
+    // Guards against memory that grows with each deregistration of an upstream that is not known here.
+    void rememberedLeavesAreBounded()
+    {
+        for (int i = 0; i < 5000; ++i) {
+            m_gate.onLeave(UpstreamId("other-" + std::to_string(i)), i + 1);
+        }
+        CPPUNIT_ASSERT(m_gate.rememberedLeaves() <= UpstreamGate::MaxFinalPhases);
+        // The latest are still known.
+        m_gate.onReport(report("other-4999", 5000, 1, UpstreamPhase::Ready), m_now);
+        CPPUNIT_ASSERT(m_gate.availableUpstream(m_now) == nullptr);
+    }
+
+    // Guards against a delayed report that opens the gate of a restarted node for an upstream that had left before.
+    void earlierLeaveClosesTheGate()
+    {
+        m_gate.onReport(report("i1", 5, 1, UpstreamPhase::Ready), m_now);
+        CPPUNIT_ASSERT(m_gate.restoreLeave(UpstreamId("i1"), 5));
+        CPPUNIT_ASSERT(!m_gate.restoreLeave(UpstreamId("i1"), 5));
+        CPPUNIT_ASSERT(m_gate.availableUpstream(m_now) == nullptr);
+        m_gate.onReport(report("i1", 5, 9, UpstreamPhase::Ready), m_now);
+        CPPUNIT_ASSERT(m_gate.availableUpstream(m_now) == nullptr);
+        m_gate.onReport(report("i1", 6, 1, UpstreamPhase::Ready), m_now);
+        CPPUNIT_ASSERT(m_gate.availableUpstream(m_now) != nullptr);
+    }
+
     // Shuffles the reports of two incarnations. Guards against an order that leaves the gate open for a draining one.
     void reportOrderDoesNotMatter()
     {
