--- a/src/relay/eventlog.cpp
+++ b/src/relay/eventlog.cpp
@@ -81,7 +81,8 @@
 {
     std::array<char, 32> number{};
     std::snprintf(number.data(), number.size(), "%.3g", value);
-    if (value >= 1000 || value <= -1000) {
+    // "%.3g" prints numbers that round to 1000 with an exponent.
+    if (value >= 999.5 || value <= -999.5) {
         std::snprintf(number.data(), number.size(), "%.0f", value);
     }
     return add(key, std::string_view(number.data()));
--- a/tests/relay/eventlogtest.cpp
+++ b/tests/relay/eventlogtest.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <array>
+#include <vector>
 
 namespace Geraniumsail {
 
@@ -56,11 +57,25 @@
 {
     CPPUNIT_TEST_SUITE(EventLogTest);
     CPPUNIT_TEST(valuesAreEscaped);
+    CPPUNIT_TEST(numbersHaveNoExponent);
     CPPUNIT_TEST(fullPipeDropsLinesWithoutBlocking);
     CPPUNIT_TEST(excessRoutineLinesAreDroppedFirst);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against "1e+03", which tools that read the log do not take for a whole number.
+    void numbersHaveNoExponent()
+    {
+        for (const auto &[value, text] : std::vector<std::pair<double, std::string>>{{0.5, "0.5"},
+                                                                                     {999.4, "999"},
+                                                                                     {999.5, "1000"},
+                                                                                     {999.9, "1000"},
+                                                                                     {-999.7, "-1000"},
+                                                                                     {1234567.0, "1234567"}}) {
+            CPPUNIT_ASSERT_EQUAL("event=e n=" + text, EventLine("e").addNumber("n", value).text());
+        }
+    }
+
     // Guards against values that split a line or forge a field.
     void valuesAreEscaped()
     {
