--- a/src/net/httpsession.cpp
+++ b/src/net/httpsession.cpp
@@ -241,8 +241,8 @@
     co_return ErrorCode{};
 }
 
-/// Whether the caller left before its request was read. The watch would notice that only after the handler has passed the
-/// request on.
+/// Whether the caller left before its request was read. The watch would notice that only after the handler has passed
+/// the request on.
 bool HttpSession::hasCallerLeft()
 {
     return m_buffer.size() == 0 && peekSocket(m_stream.socket()) == SocketState::Closed;
