Soak: one process fault at a time for a node, as stated

Traced by the node's log: it was started three times within a second, and the second and third found the port taken. The end of any fault of a node removed it from the set of nodes with a process fault, so that two terminations overlapped and each started the node again. Only a process fault ends the exclusion now; the check that no node ends by itself is unchanged.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -192,7 +192,8 @@
                                    "revoke", "cut_store", "cut_upstream", "reset", "drain", "slow", "lose", "reborn"])
         node = self.random.choice(self.nodes)
         span = self.random.uniform(0.3, 2.5)
-        if kind in ("term", "kill", "pause", "drain", "reborn"):
+        exclusive = kind in ("term", "kill", "pause", "drain", "reborn")
+        if exclusive:
             if node in self.busy:
                 return
             self.busy.add(node)
@@ -243,7 +244,8 @@
             node.upstream.lose = 0.2
             await asyncio.sleep(span)
             node.upstream.lose = 0.0
-        self.busy.discard(node)
+        if exclusive:
+            self.busy.discard(node)
 
     async def run(self):
         try:
