--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -151,10 +151,12 @@
 
 
 class StoreProxy:
-    """Stands between one node and the store. Its open connections can go silent; new ones work."""
+    """Stands between one node and the store. Its open connections can go silent, while new ones work; or it answers
+    503 in the place of the store, as one that turns this node away."""
 
     def __init__(self, target):
         self.target = target
+        self.is_turned_away = False
         self.silent = set()
         self.open = {}
         self.count = 0
@@ -168,7 +170,27 @@
         self.silent |= set(self.open)
         return len(self.open)
 
+    def turn_away(self, away):
+        self.is_turned_away = away
+        for writers in list(self.open.values()):
+            for writer in writers:
+                writer.transport.abort()
+
+    async def _refuse(self, reader, writer):
+        try:
+            while await read_message(reader):
+                writer.write(encode("HTTP/1.1 503 Service Unavailable", {}, b"{}"))
+                await writer.drain()
+                if not self.is_turned_away:
+                    break
+        except (OSError, ValueError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        writer.close()
+
     async def _serve(self, reader, writer):
+        if self.is_turned_away:
+            await self._refuse(reader, writer)
+            return
         number = self.count = self.count + 1
         back_reader, back_writer = await asyncio.open_connection(*self.target)
         self.open[number] = (writer, back_writer)
