Leaves of an upstream outlast the process of its node

Cause: the trace of a leave was only in the node's entry, which a planned stop removes with its lease. A heartbeat from before the leave that arrived at the new process therefore opened the gate. The same happened when the lease had expired or was revoked, and in the time before the new process had read the entries.

Change: leaves are kept in an item of the store without a lease. A new process reads it before it delivers to its upstream or publishes its entry. The record holds id and latest start, so that a later incarnation with the same id is served. A deregistration without a start time covers the incarnations that started until then.

StoreFollowerTest::missingConfigurationIsWatchedNotPolled counted all reads of single keys and expected one. It now expects one of the configuration, one of the leaves and no other, which is as strict.

--- a/src/core/upstreamgate.cpp
+++ b/src/core/upstreamgate.cpp
@@ -1,7 +1,5 @@
 #include "core/upstreamgate.h"
 
-#include <algorithm>
-
 namespace Geraniumsail {
 
 const char *phaseLabel(UpstreamPhase phase)
@@ -36,56 +34,57 @@
         }
     }
     auto applied = report;
-    const IncarnationKey key(report.id, report.startedMs);
-    const auto finalPhase = m_finalPhases.find(key);
-    if (finalPhase != m_finalPhases.end()) {
-        applied.phase = finalPhase->second;
+    if (m_leaves.contains(report.id, report.startedMs)) {
+        const bool isGone = isCurrent(report.id, report.startedMs) && m_known->report.phase == UpstreamPhase::Gone;
+        applied.phase = isGone ? UpstreamPhase::Gone : UpstreamPhase::Draining;
     } else if (report.phase != UpstreamPhase::Ready) {
-        recordFinalPhase(key, report.phase);
+        m_leaves.add(report.id, report.startedMs);
     }
     m_known = KnownUpstream{applied, now + applied.coldRemaining, now};
     m_unreachable = false;
     return ReportVerdict::Applied;
 }
 
-void UpstreamGate::recordFinalPhase(const IncarnationKey &key, UpstreamPhase phase)
+bool UpstreamGate::isCurrent(const UpstreamId &id, std::int64_t startedMs) const
 {
-    m_finalPhases.insert_or_assign(key, phase);
-    if (m_finalPhases.size() > MaxFinalPhases) {
-        const auto startedEarlier = [](const auto &left, const auto &right) {
-            return left.first.second < right.first.second;
-        };
-        m_finalPhases.erase(std::min_element(m_finalPhases.begin(), m_finalPhases.end(), startedEarlier));
-    }
+    return m_known && m_known->report.id == id && m_known->report.startedMs == startedMs;
 }
 
-ReportVerdict UpstreamGate::onLeave(const UpstreamId &id, std::int64_t startedMs)
+ReportVerdict UpstreamGate::onLeave(const UpstreamId &id, std::int64_t startedMs, WallTime now)
 {
-    if (!m_known || m_known->report.id != id) {
-        recordFinalPhase({id, startedMs}, UpstreamPhase::Gone);
-        return ReportVerdict::Stale;
+    const bool isKnownId = m_known && m_known->report.id == id;
+    if (startedMs == 0) {
+        const auto nowMs = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+        startedMs = isKnownId ? m_known->report.startedMs : nowMs;
     }
-    auto &current = m_known->report;
-    if (startedMs != 0 && startedMs != current.startedMs) {
-        recordFinalPhase({id, startedMs}, UpstreamPhase::Gone);
+    m_leaves.add(id, startedMs);
+    if (!isCurrent(id, startedMs)) {
         return ReportVerdict::Stale;
     }
-    current.phase = UpstreamPhase::Gone;
-    recordFinalPhase({id, current.startedMs}, UpstreamPhase::Gone);
+    m_known->report.phase = UpstreamPhase::Gone;
     return ReportVerdict::Applied;
 }
 
 bool UpstreamGate::restoreLeave(const UpstreamId &id, std::int64_t startedMs)
 {
-    const IncarnationKey key(id, startedMs);
-    const bool isNew = !m_finalPhases.contains(key);
-    if (isNew) {
-        recordFinalPhase(key, UpstreamPhase::Draining);
+    if (!m_leaves.add(id, startedMs)) {
+        return false;
     }
-    if (isNew && m_known && m_known->report.id == id && m_known->report.startedMs == startedMs) {
+    if (m_known && m_leaves.contains(m_known->report.id, m_known->report.startedMs)
+        && m_known->report.phase == UpstreamPhase::Ready) {
         m_known->report.phase = UpstreamPhase::Draining;
     }
-    return isNew;
+    return true;
+}
+
+void UpstreamGate::awaitEarlierLeaves()
+{
+    m_awaitsEarlierLeaves = true;
+}
+
+void UpstreamGate::onEarlierLeavesKnown()
+{
+    m_awaitsEarlierLeaves = false;
 }
 
 void UpstreamGate::onIncarnationMismatch(const UpstreamId &expected)
@@ -104,7 +103,7 @@
 
 const KnownUpstream *UpstreamGate::availableUpstream(MonotonicTime now) const
 {
-    if (!m_known || m_unreachable || m_known->report.phase != UpstreamPhase::Ready) {
+    if (m_awaitsEarlierLeaves || !m_known || m_unreachable || m_known->report.phase != UpstreamPhase::Ready) {
         return nullptr;
     }
     return now - m_known->reportedAt > ReportLifetime ? nullptr : &*m_known;
--- a/src/core/upstreamgate.h
+++ b/src/core/upstreamgate.h
@@ -3,20 +3,20 @@
 // Reports may arrive late, out of order or from an earlier incarnation. A report of an incarnation that started
 // earlier, or with a lower sequence, is ignored. Once an incarnation was acknowledged as draining or gone, no later
 // report of it opens the gate again; only an incarnation that started later does.
+//
+// This holds also after a restart of the node. The gate of a new process stays closed until it is told which
+// incarnations had left before, because a report that arrives earlier may be older than a leave that was acknowledged.
 #ifndef GERANIUMSAIL_CORE_UPSTREAMGATE_H
 #define GERANIUMSAIL_CORE_UPSTREAMGATE_H
 
 #include "core/ids.h"
+#include "core/leaverecord.h"
 #include "core/units.h"
 
-#include <map>
 #include <optional>
 
 namespace Geraniumsail {
 
-/// Identifies one incarnation of an upstream. The upstream rejects requests that name another incarnation.
-using UpstreamId = StrongString<struct UpstreamIdTag>;
-
 enum class UpstreamPhase {
     Ready,
     Draining,
@@ -64,8 +64,17 @@
     UpstreamGate(ServiceName service, Address address);
 
     ReportVerdict onReport(const UpstreamReport &report, MonotonicTime now);
-    /// The upstream deregistered. Closes the gate for this incarnation. startedMs is 0 if unknown.
-    ReportVerdict onLeave(const UpstreamId &id, std::int64_t startedMs);
+    /// The upstream deregistered. Closes the gate for this incarnation. startedMs is 0 if unknown; then all
+    /// incarnations of the id that started until now have left.
+    ReportVerdict onLeave(const UpstreamId &id, std::int64_t startedMs, WallTime now);
+    /// Keeps the gate closed until onEarlierLeavesKnown().
+    void awaitEarlierLeaves();
+    /// restoreLeave() was called for each leave that earlier processes of this node had acknowledged.
+    void onEarlierLeavesKnown();
+    bool awaitsEarlierLeaves() const
+    {
+        return m_awaitsEarlierLeaves;
+    }
     /// An earlier process of this node had acknowledged that the incarnation was draining or gone. Returns false if
     /// this is known.
     bool restoreLeave(const UpstreamId &id, std::int64_t startedMs);
@@ -84,24 +93,21 @@
     }
     /// The gate closes if no report arrives for this time.
     static constexpr Duration ReportLifetime = std::chrono::seconds(12);
-    /// Number of incarnations whose leaving is remembered. Those that started first are forgotten first.
-    static constexpr std::size_t MaxFinalPhases = 256;
-    std::size_t rememberedLeaves() const
+    /// Incarnations that were acknowledged as draining or gone, by this process or an earlier one.
+    const LeaveRecord &leaves() const
     {
-        return m_finalPhases.size();
+        return m_leaves;
     }
 
 private:
-    /// Id and start time, because an id may be reused.
-    using IncarnationKey = std::pair<UpstreamId, std::int64_t>;
-
-    void recordFinalPhase(const IncarnationKey &key, UpstreamPhase phase);
+    bool isCurrent(const UpstreamId &id, std::int64_t startedMs) const;
 
     ServiceName m_service;
     Address m_address;
     std::optional<KnownUpstream> m_known;
     bool m_unreachable = false;
-    std::map<IncarnationKey, UpstreamPhase> m_finalPhases; ///< Of incarnations that are draining or gone.
+    bool m_awaitsEarlierLeaves = false;
+    LeaveRecord m_leaves;
 };
 
 } // namespace Geraniumsail
--- a/src/relay/entrycodec.cpp
+++ b/src/relay/entrycodec.cpp
@@ -10,6 +10,8 @@
 
 /// An entry has about 300 bytes. Longer ones are not parsed, because deep nesting takes a hundred times its size.
 constexpr std::size_t MaxEntryBytes = 4096;
+/// A record of LeaveRecord::MaxLeaves ids of usual length has about 4 KB.
+constexpr std::size_t MaxLeavesBytes = 32768;
 constexpr Duration MaxColdStart = std::chrono::hours(1);
 
 std::optional<UpstreamPhase> parsePhase(const std::string &label)
@@ -122,4 +124,35 @@
     return changes;
 }
 
+std::string encodeLeaves(const LeaveRecord &record)
+{
+    Json json{{"left", Json::array()}};
+    for (const auto &[id, startedMs] : record.leaves()) {
+        json["left"].push_back({{"upstream", id.value()}, {"startedMs", startedMs}});
+    }
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::optional<LeaveRecord> decodeLeaves(std::string_view text)
+{
+    if (text.size() > MaxLeavesBytes) {
+        return std::nullopt;
+    }
+    const auto json = parseJson(text);
+    const auto *left = findField(json, "left");
+    if (left == nullptr || !left->is_array()) {
+        return std::nullopt;
+    }
+    LeaveRecord record;
+    for (const auto &item : *left) {
+        const auto upstream = stringField(item, "upstream");
+        const auto startedMs = unsignedField(item, "startedMs", MaxUnixMs);
+        if (!upstream || !startedMs) {
+            return std::nullopt;
+        }
+        record.add(UpstreamId(*upstream), static_cast<std::int64_t>(*startedMs));
+    }
+    return record;
+}
+
 } // namespace Geraniumsail
--- a/src/relay/entrycodec.h
+++ b/src/relay/entrycodec.h
@@ -1,4 +1,4 @@
-// Encodes and decodes the stored form of a directory entry, a JSON object.
+// Encodes and decodes the stored forms of a directory entry and of a leave record, JSON objects.
 #ifndef GERANIUMSAIL_RELAY_ENTRYCODEC_H
 #define GERANIUMSAIL_RELAY_ENTRYCODEC_H
 
@@ -20,6 +20,10 @@
 /// Returns nothing if any part is malformed: the rest would pass for complete.
 std::optional<EntryChanges> decodeChanges(std::string_view text);
 
+std::string encodeLeaves(const LeaveRecord &record);
+/// Returns nothing if any part is malformed.
+std::optional<LeaveRecord> decodeLeaves(std::string_view text);
+
 } // namespace Geraniumsail
 
 #endif
--- a/src/relay/metadatastore.h
+++ b/src/relay/metadatastore.h
@@ -61,12 +61,20 @@
     std::uint64_t revision = 0;
 };
 
+/// The leaves that the store holds for a node.
+struct StoredLeaves
+{
+    LeaveRecord record;
+    std::uint64_t revision = 0; ///< Of the stored item; 0 if there is none.
+    std::string problem; ///< Why the stored item cannot be read; empty if it can.
+};
+
 template <typename T>
 using StoreResult = boost::system::result<T, StoreError>;
 
 template <typename Store>
 concept MetadataStore = requires(Store &store, std::uint64_t revision, Duration duration, LeaseId lease,
-                                 const DirectoryEntry &entry)
+                                 const DirectoryEntry &entry, const LeaveRecord &leaves)
 {
     {
         store.decodeConfiguration(std::string())
@@ -98,6 +106,12 @@
     {
         store.writeEntry(entry, lease, revision)
         } -> std::same_as<boost::asio::awaitable<StoreResult<std::uint64_t>>>;
+    {
+        store.readLeaves(entry.node)
+        } -> std::same_as<boost::asio::awaitable<StoreResult<StoredLeaves>>>;
+    {
+        store.writeLeaves(entry.node, leaves, revision)
+        } -> std::same_as<boost::asio::awaitable<StoreResult<std::uint64_t>>>;
 };
 
 } // namespace Geraniumsail
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -217,6 +217,7 @@
     if (changed) {
         notifyOwnEntry();
     }
+    notifyLeaves();
     return verdict;
 }
 
@@ -230,6 +231,7 @@
                                 .add("started", startedMs)
                                 .add("verdict", verdictLabel(verdict)));
     notifyOwnEntry();
+    notifyLeaves();
     return verdict;
 }
 
@@ -300,7 +302,7 @@
 std::optional<DirectoryEntry> Relay::ownEntry() const
 {
     const auto &known = m_upstreamProxy.gate().knownUpstream();
-    if (!known) {
+    if (!known || awaitsEarlierLeaves()) {
         return std::nullopt;
     }
     DirectoryEntry entry;
@@ -324,6 +326,18 @@
     m_ownEntryObserver = std::move(observer);
 }
 
+void Relay::setLeaveObserver(std::function<void()> observer)
+{
+    m_leaveObserver = std::move(observer);
+}
+
+void Relay::notifyLeaves()
+{
+    if (m_leaveObserver) {
+        m_leaveObserver();
+    }
+}
+
 void Relay::setAcceptEndObserver(std::function<void()> observer)
 {
     m_acceptEndObserver = std::move(observer);
@@ -398,15 +412,48 @@
     if (!entry.upstreamLeft || entry.nodeStartedMs == m_processStartedMs || entry.upstreamStartedMs == 0) {
         return;
     }
-    if (m_upstreamProxy.onEarlierLeave(entry.upstream, entry.upstreamStartedMs)) {
+    if (restoreLeave(entry.upstream, entry.upstreamStartedMs, "entry")) {
+        notifyOwnEntry();
+    }
+}
+
+bool Relay::restoreLeave(const UpstreamId &id, std::int64_t startedMs, std::string_view source)
+{
+    const bool isNew = m_upstreamProxy.onEarlierLeave(id, startedMs);
+    if (isNew) {
         m_reporter.logImportant(EventLine("upstream_left_before")
-                                    .add("upstream", entry.upstream.value())
-                                    .add("started", entry.upstreamStartedMs)
-                                    .add("node_started", entry.nodeStartedMs));
+                                    .add("upstream", id.value())
+                                    .add("started", startedMs)
+                                    .add("source", source));
+        notifyLeaves();
+    }
+    return isNew;
+}
+
+void Relay::awaitEarlierLeaves()
+{
+    m_upstreamProxy.awaitEarlierLeaves();
+}
+
+void Relay::restoreLeaves(const LeaveRecord &record, std::string_view source)
+{
+    bool isChanged = false;
+    for (const auto &[id, startedMs] : record.leaves()) {
+        isChanged = restoreLeave(id, startedMs, source) || isChanged;
+    }
+    if (isChanged) {
         notifyOwnEntry();
     }
 }
 
+void Relay::onEarlierLeavesKnown()
+{
+    m_upstreamProxy.onEarlierLeavesKnown();
+    m_reporter.logImportant(
+        EventLine("earlier_leaves_known").add("leaves", static_cast<std::int64_t>(leaves().leaves().size())));
+    notifyOwnEntry();
+}
+
 void Relay::onStoreCall(std::string_view operation)
 {
     m_metrics.countStoreCall(operation);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -42,6 +42,22 @@
 
     ReportVerdict onUpstreamReport(const UpstreamReport &report);
     ReportVerdict onUpstreamDeregistration(const UpstreamId &id, std::int64_t startedMs);
+    /// Incarnations of the upstream beside this node that were acknowledged as draining or gone.
+    const LeaveRecord &leaves() const
+    {
+        return m_upstreamProxy.gate().leaves();
+    }
+    /// Delivers nothing to the upstream, and publishes no entry, until onEarlierLeavesKnown().
+    void awaitEarlierLeaves();
+    bool awaitsEarlierLeaves() const
+    {
+        return m_upstreamProxy.gate().awaitsEarlierLeaves();
+    }
+    /// Earlier processes of this node had acknowledged these leaves.
+    void restoreLeaves(const LeaveRecord &record, std::string_view source);
+    void onEarlierLeavesKnown();
+    /// The observer is called when leaves() may have changed.
+    void setLeaveObserver(std::function<void()> observer);
     /// Applies a configuration; returns false if it is not newer than the current one. text is the encoded document,
     /// which is passed on to other nodes.
     bool onConfiguration(RouteTable table, std::string text, std::string_view source);
@@ -70,7 +86,8 @@
     void onStoreSourceFailed(const NodeName &node, std::string_view reason);
     void onStoreSourceAnswered(const NodeName &node);
 
-    /// Returns the directory entry of this node; nothing before the first report of the upstream.
+    /// Returns the directory entry of this node; nothing before the first report of the upstream, and until it is known
+    /// which incarnations had left.
     std::optional<DirectoryEntry> ownEntry() const;
     /// The observer is called after each change of ownEntry().
     void setOwnEntryObserver(std::function<void()> observer);
@@ -117,8 +134,10 @@
     boost::asio::awaitable<HttpResponse> handleMetrics();
     boost::asio::awaitable<void> tickLoop();
     void onOwnStoredEntry(const DirectoryEntry &entry);
+    bool restoreLeave(const UpstreamId &id, std::int64_t startedMs, std::string_view source);
     void reportEntryChange(const NodeName &node, DirectoryChange change, std::uint64_t revision);
     void notifyOwnEntry();
+    void notifyLeaves();
     void reportStoreCalls(MonotonicTime now);
 
     boost::asio::io_context &m_context;
@@ -139,6 +158,7 @@
     HttpServer m_announcementServer;
     HttpServer m_metricsServer;
     std::function<void()> m_ownEntryObserver;
+    std::function<void()> m_leaveObserver;
     std::function<void()> m_acceptEndObserver;
     std::int64_t m_processStartedMs;
     std::optional<bool> m_storeUp;
--- a/src/relay/storefollower.h
+++ b/src/relay/storefollower.h
@@ -12,6 +12,7 @@
 #ifndef GERANIUMSAIL_RELAY_STOREFOLLOWER_H
 #define GERANIUMSAIL_RELAY_STOREFOLLOWER_H
 
+#include "core/backoff.h"
 #include "net/clock.h"
 #include "net/httpwire.h"
 #include "relay/metadatastore.h"
@@ -20,7 +21,6 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
-#include <random>
 
 namespace Geraniumsail {
 
@@ -101,15 +101,6 @@
     }
 
 private:
-    /// Returns a random delay between half and all of the current backoff, and doubles the backoff up to max.
-    Duration nextBackoff(Duration &backoff, Duration max = MaxBackoff)
-    {
-        const auto current = backoff;
-        backoff = std::min(backoff * 2, max);
-        std::uniform_int_distribution<Duration::rep> jitter(current.count() / 2, current.count());
-        return Duration(jitter(m_random));
-    }
-
     boost::asio::awaitable<void> sleep(Duration duration)
     {
         boost::asio::steady_timer timer(m_context, duration);
@@ -153,7 +144,8 @@
             if (failure) {
                 reportFailure("configuration", *failure);
                 m_store.cancelEntriesWatch();
-                co_await sleep(nextBackoff(backoff, m_relay.isStoreReader() ? MaxBackoff : MaxFollowerBackoff));
+                co_await sleep(
+                    nextBackoff(backoff, m_relay.isStoreReader() ? MaxBackoff : MaxFollowerBackoff, m_random));
             } else {
                 backoff = MinBackoff;
                 m_relay.onStoreState(true, "configuration", "answered");
@@ -295,7 +287,7 @@
                 reportFailure("entries", changes.error());
                 // Otherwise the next watch continues where this one ended.
                 m_rereadEntries = changes.error() == StoreError::Compacted || changes.error() == StoreError::Malformed;
-                co_await sleep(nextBackoff(backoff));
+                co_await sleep(nextBackoff(backoff, MaxBackoff, m_random));
                 continue;
             }
             m_rereadEntries = false;
@@ -375,7 +367,7 @@
                     if (*failure == StoreError::Unreachable) {
                         m_store.cancelEntriesWatch();
                     }
-                    next = isPublished(*entry) ? RenewRetryInterval : nextBackoff(backoff);
+                    next = isPublished(*entry) ? RenewRetryInterval : nextBackoff(backoff, MaxBackoff, m_random);
                 } else {
                     backoff = MinBackoff;
                     m_relay.onStoreState(true, "publish", "answered");
@@ -460,7 +452,7 @@
     boost::asio::io_context &m_context;
     Store &m_store;
     Relay &m_relay;
-    std::mt19937_64 m_random;
+    Random m_random;
     boost::asio::steady_timer m_publishTimer;
     boost::asio::steady_timer m_sourceTimer; ///< Wakes followEntries() when the source changes.
     HttpClient m_peerClient; ///< Polls other nodes.
--- a/src/relay/upstreamproxy.cpp
+++ b/src/relay/upstreamproxy.cpp
@@ -138,7 +138,7 @@
 
 ReportVerdict UpstreamProxy::onDeregistration(const UpstreamId &id, std::int64_t startedMs)
 {
-    const auto verdict = m_gate.onLeave(id, startedMs);
+    const auto verdict = m_gate.onLeave(id, startedMs, wallNow());
     if (m_gate.availableUpstream(monotonicNow()) == nullptr) {
         refuseQueuedRequests();
     }
@@ -154,6 +154,16 @@
     return isNew;
 }
 
+void UpstreamProxy::awaitEarlierLeaves()
+{
+    m_gate.awaitEarlierLeaves();
+}
+
+void UpstreamProxy::onEarlierLeavesKnown()
+{
+    m_gate.onEarlierLeavesKnown();
+}
+
 void UpstreamProxy::setConnectionLimit(Connections limit)
 {
     m_upstreamClient.setConnectionLimit(m_upstreamAddress, limit.value());
--- a/src/relay/upstreamproxy.h
+++ b/src/relay/upstreamproxy.h
@@ -39,8 +39,11 @@
     /// Handles a report of the upstream. Nothing is delivered to an incarnation that has reported to be draining.
     ReportVerdict onReport(const UpstreamReport &report);
     ReportVerdict onDeregistration(const UpstreamId &id, std::int64_t startedMs);
+    /// Refuses all requests until onEarlierLeavesKnown().
+    void awaitEarlierLeaves();
     /// An earlier process of this node had acknowledged that this incarnation left. Returns false if that was known.
     bool onEarlierLeave(const UpstreamId &id, std::int64_t startedMs);
+    void onEarlierLeavesKnown();
     /// Sets the configured maximum number of connections to the upstream.
     void setConnectionLimit(Connections limit);
     /// Marks this node as stopping.
--- a/tests/core/upstreamgatetest.cpp
+++ b/tests/core/upstreamgatetest.cpp
@@ -65,7 +65,7 @@
     void deregistrationIsFinalAlsoWithoutDraining()
     {
         m_gate.onReport(report("i1", 5, 1, UpstreamPhase::Ready), m_now);
-        CPPUNIT_ASSERT(m_gate.onLeave(UpstreamId("i1"), 0) == ReportVerdict::Applied);
+        CPPUNIT_ASSERT(m_gate.onLeave(UpstreamId("i1"), 0, m_wallNow) == ReportVerdict::Applied);
         m_gate.onReport(report("i1", 5, 2, UpstreamPhase::Ready), m_now);
         CPPUNIT_ASSERT(m_gate.availableUpstream(m_now) == nullptr);
     }
@@ -74,10 +74,10 @@
     void laterIncarnationWithSameIdOpensTheGate()
     {
         m_gate.onReport(report("i1", 5, 8, UpstreamPhase::Ready), m_now);
-        m_gate.onLeave(UpstreamId("i1"), 5);
+        m_gate.onLeave(UpstreamId("i1"), 5, m_wallNow);
         m_gate.onReport(report("i1", 6, 1, UpstreamPhase::Ready), m_now);
         CPPUNIT_ASSERT(m_gate.availableUpstream(m_now) != nullptr);
-        CPPUNIT_ASSERT(m_gate.onLeave(UpstreamId("i1"), 5) == ReportVerdict::Stale);
+        CPPUNIT_ASSERT(m_gate.onLeave(UpstreamId("i1"), 5, m_wallNow) == ReportVerdict::Stale);
         CPPUNIT_ASSERT(m_gate.availableUpstream(m_now) != nullptr);
     }
 
@@ -106,9 +106,9 @@
     void rememberedLeavesAreBounded()
     {
         for (int i = 0; i < 5000; ++i) {
-            m_gate.onLeave(UpstreamId("other-" + std::to_string(i)), i + 1);
+            m_gate.onLeave(UpstreamId("other-" + std::to_string(i)), i + 1, m_wallNow);
         }
-        CPPUNIT_ASSERT(m_gate.rememberedLeaves() <= UpstreamGate::MaxFinalPhases);
+        CPPUNIT_ASSERT(m_gate.leaves().leaves().size() <= LeaveRecord::MaxLeaves);
         // The latest are still known.
         m_gate.onReport(report("other-4999", 5000, 1, UpstreamPhase::Ready), m_now);
         CPPUNIT_ASSERT(m_gate.availableUpstream(m_now) == nullptr);
@@ -149,6 +149,7 @@
 
 private:
     MonotonicTime m_now{seconds(100)};
+    WallTime m_wallNow{seconds(1000)};
     UpstreamGate m_gate{ServiceName("bookings"), Address("127.0.0.1:80")};
 };
 
--- a/tests/platform/fakestore.cpp
+++ b/tests/platform/fakestore.cpp
@@ -118,6 +118,7 @@
     expireLeases();
     auto query = queryParameters(target);
     if (path == "/kv-key") {
+        ++reads[query["key"]];
         co_return read(query["key"]);
     }
     if (path == "/kv-range") {
--- a/tests/platform/fakestore.h
+++ b/tests/platform/fakestore.h
@@ -41,6 +41,7 @@
     int lostWriteResponses = 0; ///< Number of next writes that take effect but get no response in time.
     std::map<std::string, int> calls; ///< By path.
     std::map<std::string, int> watches; ///< By prefix.
+    std::map<std::string, int> reads; ///< Of single keys, by key.
 
 private:
     struct Item
--- a/tests/platform/fleet.h
+++ b/tests/platform/fleet.h
@@ -7,6 +7,7 @@
 #include "net/loop.h"
 #include "platform/headers.h"
 #include "platform/kvstore.h"
+#include "relay/leaverecorder.h"
 #include "relay/relay.h"
 #include "relay/storefollower.h"
 
@@ -95,9 +96,10 @@
                 [](HttpRequest, RequestScope &) -> boost::asio::awaitable<HttpResponse> {
                     co_return makeResponse(404, "text/plain", "");
                 }),
-          follower(context, store, relay)
+          follower(context, store, relay), leaveRecorder(context, store, relay)
     {
         relay.start();
+        leaveRecorder.start();
         follower.start();
     }
 
@@ -118,6 +120,7 @@
     Store store;
     Relay relay;
     StoreFollower<Store> follower;
+    LeaveRecorder<Store> leaveRecorder;
 
 private:
     /// The node listens for callers on 127.0.0.3. Callers connect from 127.0.0.1, so that the node does not mistake
--- a/tests/platform/storefollowertest.cpp
+++ b/tests/platform/storefollowertest.cpp
@@ -143,7 +143,9 @@
         const auto *node = ownedNode.get();
         const auto end = monotonicNow() + seconds(4);
         m_loop->runUntil([end] { return monotonicNow() >= end; });
-        CPPUNIT_ASSERT_EQUAL(1, emptyStore.calls["/kv-key"]);
+        CPPUNIT_ASSERT_EQUAL(1, emptyStore.reads["op/config"]);
+        CPPUNIT_ASSERT_EQUAL(1, emptyStore.reads["geraniumsail/leaves/books-2"]);
+        CPPUNIT_ASSERT_EQUAL(2, emptyStore.calls["/kv-key"]);
         CPPUNIT_ASSERT(emptyStore.watches["op/config"] <= 2);
         emptyStore.put("op/config", configuration(9));
         const auto writtenAt = monotonicNow();
