Acknowledge a leave only when its record is safe

Cause: the acknowledgement did not wait for the record. Only the process that ended knew of the leave.

Change: the acknowledgement waits for the store.

--- a/src/core/upstreamdirectory.cpp
+++ b/src/core/upstreamdirectory.cpp
@@ -130,6 +130,15 @@
     return nodes;
 }
 
+std::vector<NodeName> UpstreamDirectory::nodes() const
+{
+    std::vector<NodeName> nodes;
+    for (const auto &[node, known] : m_entries) {
+        nodes.push_back(node);
+    }
+    return nodes;
+}
+
 void UpstreamDirectory::removeFromIndex(const NodeName &node, const ServiceName &service)
 {
     const auto nodes = m_byService.find(service);
--- a/src/core/upstreamdirectory.h
+++ b/src/core/upstreamdirectory.h
@@ -83,6 +83,7 @@
     const KnownEntry *find(const NodeName &node) const;
     /// All nodes of a data centre, whatever the phase of their upstreams.
     std::vector<NodeName> nodesIn(const DataCentreName &dataCentre) const;
+    std::vector<NodeName> nodes() const;
     std::size_t size() const
     {
         return m_entries.size();
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -2,6 +2,7 @@
 
 #include "net/clock.h"
 #include "net/httpwire.h"
+#include "relay/leavehandover.h"
 
 #include <unistd.h>
 
@@ -155,6 +156,9 @@
     if (!context && StoreFeed::isFeedRequest(request.message)) {
         co_return co_await m_storeFeed.respond(std::move(request));
     }
+    if (!context && m_leaveHandoverHandler && isLeaveHandover(request.message)) {
+        co_return co_await m_leaveHandoverHandler(std::move(request));
+    }
     if (!context) {
         m_reporter.logImportant(EventLine("peer_request_rejected")
                                     .add("reason", "no valid attempt context")
@@ -331,6 +335,11 @@
     m_leaveObserver = std::move(observer);
 }
 
+void Relay::setLeaveHandoverHandler(std::function<asio::awaitable<HttpResponse>(HttpRequest)> handler)
+{
+    m_leaveHandoverHandler = std::move(handler);
+}
+
 void Relay::notifyLeaves()
 {
     if (m_leaveObserver) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -58,6 +58,12 @@
     void onEarlierLeavesKnown();
     /// The observer is called when leaves() may have changed.
     void setLeaveObserver(std::function<void()> observer);
+    /// The handler serves the requests by which other nodes hand over leaves (relay/leavehandover.h).
+    void setLeaveHandoverHandler(std::function<boost::asio::awaitable<HttpResponse>(HttpRequest)> handler);
+    bool isStopping() const
+    {
+        return m_stopping;
+    }
     /// Applies a configuration; returns false if it is not newer than the current one. text is the encoded document,
     /// which is passed on to other nodes.
     bool onConfiguration(RouteTable table, std::string text, std::string_view source);
@@ -107,6 +113,11 @@
         return m_router.directory().size();
     }
 
+    std::vector<NodeName> knownNodes() const
+    {
+        return m_router.directory().nodes();
+    }
+
     /// Runs the long-lived tasks of this node.
     Supervisor &supervisor()
     {
@@ -159,6 +170,7 @@
     HttpServer m_metricsServer;
     std::function<void()> m_ownEntryObserver;
     std::function<void()> m_leaveObserver;
+    std::function<boost::asio::awaitable<HttpResponse>(HttpRequest)> m_leaveHandoverHandler;
     std::function<void()> m_acceptEndObserver;
     std::int64_t m_processStartedMs;
     std::optional<bool> m_storeUp;
--- a/tests/platform/leavetest.cpp
+++ b/tests/platform/leavetest.cpp
@@ -17,6 +17,42 @@
     {"name":"once","prefix":"/once/","route_type":"unsafe","timeout":"1500ms","target_latency":"800ms","priority":2,
     "service":"books","max_attempts":2}]}]})";
 
+/// Stands between a node and the store, and can turn that node away.
+class StoreGate
+{
+public:
+    StoreGate(asio::io_context &context, Address store)
+        : m_client(context.get_executor(), ClientLimits{}), m_store(std::move(store)),
+          m_server(context.get_executor(), ServerLimits{},
+                   [this](HttpRequest request, RequestScope &) { return forward(std::move(request)); }),
+          address(m_server.listen(Address("127.0.0.1:0")))
+    {
+    }
+
+private:
+    asio::awaitable<HttpResponse> forward(HttpRequest request)
+    {
+        if (refuses) {
+            co_return makeResponse(503, "application/json", "{}");
+        }
+        ExchangeOptions options;
+        options.deadline = monotonicNow() + seconds(5);
+        auto response = co_await m_client.send(m_store, std::move(request), options);
+        if (refuses || !response) {
+            co_return makeResponse(503, "application/json", "{}");
+        }
+        co_return std::move(*response);
+    }
+
+    HttpClient m_client;
+    Address m_store;
+    HttpServer m_server;
+
+public:
+    Address address;
+    bool refuses = false;
+};
+
 class LeaveTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(LeaveTest);
@@ -24,6 +60,10 @@
     CPPUNIT_TEST(lateReportAfterDrainingAndPlannedRestartIsIgnored);
     CPPUNIT_TEST(restartedNodeDeliversNothingBeforeItKnowsEarlierLeaves);
     CPPUNIT_TEST(unreadableLeaveRecordIsReplaced);
+    CPPUNIT_TEST(leaveIsRecordedByAnotherNodeWhileTheStoreRefusesThisOne);
+    CPPUNIT_TEST(leaveIsHeldByAnotherNodeWhileTheStoreIsUnavailable);
+    CPPUNIT_TEST(leaveThatNothingRecordsIsNotAcknowledged);
+    CPPUNIT_TEST(anyNumberOfLeavesIsRecorded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -33,7 +73,8 @@
         m_store = std::make_unique<FakeStore>(m_loop->context);
         m_client = std::make_unique<HttpClient>(m_loop->context.get_executor(), ClientLimits{});
         m_store->put("op/config", Configuration);
-        m_books = std::make_unique<FleetNode>(m_loop->context, m_store->address(), "books-1", "books");
+        m_gate = std::make_unique<StoreGate>(m_loop->context, m_store->address());
+        m_books = std::make_unique<FleetNode>(m_loop->context, m_gate->address, "books-1", "books");
         m_charts = std::make_unique<FleetNode>(m_loop->context, m_store->address(), "charts-1", "charts");
         m_charts->announce(UpstreamPhase::Ready, 1);
     }
@@ -44,6 +85,8 @@
         static_cast<void>(m_restarted.release());
         static_cast<void>(m_charts.release());
         static_cast<void>(m_books.release());
+        static_cast<void>(m_restartedGate.release());
+        static_cast<void>(m_gate.release());
         static_cast<void>(m_client.release());
         static_cast<void>(m_store.release());
         static_cast<void>(m_loop.release());
@@ -85,33 +128,116 @@
     // Guards against an upstream that is never served because another writer spoilt the record.
     void unreadableLeaveRecordIsReplaced()
     {
-        m_store->put("geraniumsail/leaves/books-1", "[[[[");
+        m_store->put(RecordKey, "[[[[");
         restart();
         m_restarted->announce(UpstreamPhase::Ready, 1);
         m_loop->runUntil([this] { return statusOfPost() == 200; });
         m_restarted->announce(UpstreamPhase::Draining, 2);
-        m_loop->runUntil(
-            [this] { return m_store->valueOf("geraniumsail/leaves/books-1").find("i-books-1") != std::string::npos; });
+        m_loop->runUntil([this] { return m_store->valueOf(RecordKey).find("i-books-1") != std::string::npos; });
+    }
+
+    // Guards against a leave that was acknowledged while the store turned the node away, and that is forgotten when the
+    // process of the node ends before the store serves it again.
+    void leaveIsRecordedByAnotherNodeWhileTheStoreRefusesThisOne()
+    {
+        m_books->announce(UpstreamPhase::Ready, 1);
+        m_loop->runUntil([this] { return statusOfPost() == 200; });
+        m_gate->refuses = true;
+        m_books->relay.onUpstreamDeregistration(UpstreamId("i-books-1"), 1);
+        CPPUNIT_ASSERT(isAcknowledged());
+        CPPUNIT_ASSERT(m_store->valueOf(RecordKey).find("i-books-1") != std::string::npos);
+        checkThatItStaysLeftAfterRestart();
+    }
+
+    // The same if the store is away for all nodes.
+    void leaveIsHeldByAnotherNodeWhileTheStoreIsUnavailable()
+    {
+        m_books->announce(UpstreamPhase::Ready, 1);
+        m_loop->runUntil([this] { return statusOfPost() == 200; });
+        m_store->unavailable = true;
+        m_books->announce(UpstreamPhase::Draining, 3);
+        CPPUNIT_ASSERT(isAcknowledged());
+        // The first process never reaches the store again.
+        m_gate->refuses = true;
+        m_books->relay.beginStop();
+        m_restartedGate = std::make_unique<StoreGate>(m_loop->context, m_store->address());
+        m_restarted = std::make_unique<FleetNode>(m_loop->context, m_restartedGate->address, "books-1", "books",
+                                                  m_books->upstream.address);
+        m_restarted->announce(UpstreamPhase::Ready, 2);
+        runFor(milliseconds(300));
+        m_store->unavailable = false;
+        m_loop->runUntil([this] { return m_store->valueOf(RecordKey).find("i-books-1") != std::string::npos; });
+        runFor(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(503U, statusOfPost());
+        m_restarted->announce(UpstreamPhase::Ready, 1, 2);
+        m_loop->runUntil([this] { return statusOfPost() == 200; });
+    }
+
+    // Guards against an acknowledgement that a restart of the node would break.
+    void leaveThatNothingRecordsIsNotAcknowledged()
+    {
+        m_books->announce(UpstreamPhase::Ready, 1);
+        m_loop->runUntil([this] { return statusOfPost() == 200; });
+        m_gate->refuses = true;
+        m_charts->relay.beginStop();
+        m_books->relay.onUpstreamDeregistration(UpstreamId("i-books-1"), 1);
+        CPPUNIT_ASSERT(!isAcknowledged());
+        m_gate->refuses = false;
+        m_loop->runUntil([this] { return isAcknowledged(); });
+    }
+
+    // Guards against endless writes once there are more leaves than a record holds.
+    void anyNumberOfLeavesIsRecorded()
+    {
+        for (std::size_t i = 0; i < LeaveRecord::MaxLeaves + 10; ++i) {
+            m_books->relay.onUpstreamDeregistration(UpstreamId("i" + std::to_string(i)), 1000 - std::int64_t(i));
+        }
+        CPPUNIT_ASSERT(isAcknowledged());
+        runFor(milliseconds(200));
+        const auto writes = m_store->calls["/kv-txn"];
+        runFor(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(writes, m_store->calls["/kv-txn"]);
     }
 
 private:
+    static constexpr const char *RecordKey = "geraniumsail/leaves/books-1";
+
+    /// Whether the node may acknowledge the leaves that were reported to it, within the second that an upstream waits.
+    bool isAcknowledged()
+    {
+        std::optional<bool> isSafe;
+        const auto startedAt = monotonicNow();
+        m_loop->run(confirm(isSafe));
+        CPPUNIT_ASSERT(monotonicNow() - startedAt < seconds(1));
+        return *isSafe;
+    }
+    asio::awaitable<void> confirm(std::optional<bool> &isSafe)
+    {
+        isSafe = co_await m_books->leaveRecorder.confirm();
+    }
     /// Starts the node again, at other addresses, beside the same upstream.
     void restart()
     {
         m_books->relay.beginStop();
         m_loop->run(m_books->follower.unpublish());
-        m_restarted = std::make_unique<FleetNode>(m_loop->context, m_store->address(), "books-1", "books",
+        m_restarted = std::make_unique<FleetNode>(m_loop->context, m_gate->address, "books-1", "books",
                                                   m_books->upstream.address);
     }
     void checkThatItStaysLeft()
     {
         runFor(milliseconds(300));
         CPPUNIT_ASSERT_EQUAL(503U, statusOfPost());
+        checkThatItStaysLeftAfterRestart();
+    }
+    void checkThatItStaysLeftAfterRestart()
+    {
         restart();
         runFor(milliseconds(300));
         const auto received = m_books->upstream.receivedRequests.size();
         m_restarted->announce(UpstreamPhase::Ready, 2);
         runFor(milliseconds(500));
+        m_gate->refuses = false;
+        runFor(milliseconds(1500));
         CPPUNIT_ASSERT_EQUAL(503U, statusOfPost());
         CPPUNIT_ASSERT_EQUAL(received, m_books->upstream.receivedRequests.size());
         // A later incarnation with the same id is served.
@@ -146,6 +272,8 @@
     std::unique_ptr<Loop> m_loop;
     std::unique_ptr<FakeStore> m_store;
     std::unique_ptr<HttpClient> m_client;
+    std::unique_ptr<StoreGate> m_gate; ///< Of the node "books-1".
+    std::unique_ptr<StoreGate> m_restartedGate; ///< Of its second process, if that has one of its own.
     std::unique_ptr<FleetNode> m_books;
     std::unique_ptr<FleetNode> m_charts;
     std::unique_ptr<FleetNode> m_restarted;
