--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -527,6 +527,8 @@
     const auto stopDeadline = stopStarted + m_settings.stopGrace - ShutdownReserve;
     timer.expires_at(toSteady(stopStarted + std::min(AcceptTimeAfterStop, m_settings.stopGrace / 2)));
     co_await timer.async_wait(AsTuple);
+    // Requests whose first bytes have arrived are still read, however long that takes.
+    m_router.setStopDeadline(stopDeadline);
     m_callerServer.stop();
     m_peerServer.stop();
     if (m_acceptEndObserver) {
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -2,8 +2,9 @@
 //
 // After beginStop() the node reports "not ready", makes callers reconnect to other nodes by sending Connection: close,
 // and refuses requests of other nodes. It still accepts requests of callers for AcceptTimeAfterStop, because callers
-// keep sending until two readiness checks have failed. The node stops when no request is in progress, at the latest
-// shortly before stopGrace has passed.
+// keep sending until two readiness checks have failed. Requests that it has read later are refused if they might not
+// end before the process does. The node stops when no request is in progress, at the latest shortly before stopGrace
+// has passed.
 #ifndef GERANIUMSAIL_RELAY_RELAY_H
 #define GERANIUMSAIL_RELAY_RELAY_H
 
--- a/src/relay/requestrouter.cpp
+++ b/src/relay/requestrouter.cpp
@@ -155,6 +155,10 @@
     if (!state) {
         co_return refuseUnrouted(request, ErrorKind::UnknownService);
     }
+    // It could be cut when the process ends, and an unrepeatable one must not be.
+    if (m_stopDeadline && state->deadline > *m_stopDeadline) {
+        co_return buildErrorResponse(*state, ErrorKind::Draining);
+    }
     const bool isRoot = state->origin == Origin::Root && m_upstreamProxy.recognizesCalls();
     if (isRoot && !m_rootAdmission.admit(*state->rule, admissionDraw(state->id), state->arrivalTime)) {
         m_reporter.metrics.countRootRefusal();
--- a/src/relay/requestrouter.h
+++ b/src/relay/requestrouter.h
@@ -42,6 +42,11 @@
     {
         return *m_routes;
     }
+    /// The node stops at this time: requests that may take longer are refused from now on.
+    void setStopDeadline(MonotonicTime deadline)
+    {
+        m_stopDeadline = deadline;
+    }
     bool hasRoutes() const
     {
         return m_routes->version().value() > 0;
@@ -102,6 +107,7 @@
     std::map<RouteName, double> m_responseBytes; ///< Exponential moving average of the body size.
     Random m_random;
     std::size_t m_activeRequests = 0;
+    std::optional<MonotonicTime> m_stopDeadline;
     MonotonicTime m_nextIdleCheck; ///< When idle connections are checked next.
 };
 
--- a/tests/platform/fleettest.cpp
+++ b/tests/platform/fleettest.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(responseIsSentAtRouteTimeout);
     CPPUNIT_TEST(responseToAnotherRequestIsRejected);
     CPPUNIT_TEST(requestsInProgressCompleteDuringStop);
+    CPPUNIT_TEST(requestReadLateInAStopIsRefusedUnlessItEndsInTime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -378,6 +379,34 @@
         m_loop->runUntil([&] { return stopped; });
     }
 
+    // Guards against a request that is taken late in a planned stop, passed on, and cut when the process ends.
+    void requestReadLateInAStopIsRefusedUnlessItEndsInTime()
+    {
+        m_timeout = "5000ms";
+        startServing();
+        RawConnection slow(m_loop->context);
+        RawConnection quick(m_loop->context);
+        for (auto *caller : {&slow, &quick}) {
+            m_loop->run(caller->connect(m_books->relay.settings().callerListen));
+            m_loop->run(caller->send("POST /once/ HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n"));
+        }
+        bool isStopped = false;
+        m_books->relay.beginStop();
+        asio::co_spawn(m_loop->context, m_books->relay.stopped(),
+                       [&isStopped](const std::exception_ptr &) { isStopped = true; });
+        runFor(Relay::AcceptTimeAfterStop + milliseconds(500));
+        m_loop->run(slow.send("Request-Id: slow\r\nDeadline-Ms: 5000\r\n\r\n"));
+        m_loop->run(quick.send("Request-Id: quick\r\nDeadline-Ms: 1000\r\n\r\n"));
+        std::string answers[2];
+        m_loop->run(receiveAnswer(slow, answers[0]));
+        m_loop->run(receiveAnswer(quick, answers[1]));
+        CPPUNIT_ASSERT(answers[0].starts_with("HTTP/1.1 503"));
+        CPPUNIT_ASSERT(answers[0].find("Retry-After") != std::string::npos);
+        CPPUNIT_ASSERT(answers[1].starts_with("HTTP/1.1 200"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_books->upstream.receivedRequests.size());
+        m_loop->runUntil([&] { return isStopped; });
+    }
+
 private:
     std::unique_ptr<FleetNode> addNode(const std::string &name, const std::string &service)
     {
@@ -417,6 +446,10 @@
     {
         return sendAndReceive(node.relay.settings().callerListen, std::move(request));
     }
+    static asio::awaitable<void> receiveAnswer(RawConnection &connection, std::string &answer)
+    {
+        answer = co_await connection.receive("\r\n\r\n");
+    }
     HttpResponse sendAndReceive(const Address &address, HttpRequest request)
     {
         std::optional<HttpResponse> response;
