Do not take an answer without a length as whole after a failed write

Cause: the failed write of the request takes the reset from the socket, and the reads after it see a clean end of the answer.

Change: after a failed write the answer must show its own end.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -47,6 +47,7 @@
     std::unique_ptr<Lease> m_lease;
     ExchangeOptions m_options;
     std::unique_ptr<Parser> m_parser;
+    bool m_writeFailed = false;
     bool m_mayReuse = true; ///< The connection holds nothing but whole answers to whole requests.
     int m_foreignAnswers = 0;
     int m_interimAnswers = 0;
@@ -131,6 +132,10 @@
     if (const auto error = co_await readHead(isHead)) {
         co_return *error;
     }
+    // The failed write may have taken the error of a reset from the socket, so that the reads see a clean end.
+    if (m_writeFailed && m_parser->need_eof()) {
+        co_return TransferError::TruncatedAnswer;
+    }
     co_return co_await readFirstPart();
 }
 
@@ -158,7 +163,8 @@
     co_return std::nullopt;
 }
 
-/// A failed write is not final: the server may have answered early and closed, so the answer is read all the same.
+/// A failed write is not final: the server may have answered early and closed, so the answer is read all the same. It
+/// must show its own end then.
 asio::awaitable<std::optional<TransferError>> HttpClient::Exchange::write(HttpRequest &request)
 {
     auto &stream = m_lease->connection().stream;
@@ -176,6 +182,7 @@
     if (error && (isCancelled() || error == boost::beast::error::timeout)) {
         co_return afterSend(error);
     }
+    m_writeFailed = static_cast<bool>(error);
     m_mayReuse = !error;
     co_return std::nullopt;
 }
--- a/tests/net/httpclienttest.cpp
+++ b/tests/net/httpclienttest.cpp
@@ -14,6 +14,26 @@
 
 namespace asio = boost::asio;
 
+/// A rest of a request's body that arrives after an event.
+class PartAfter : public BodyReader
+{
+public:
+    PartAfter(Event &event, std::string part) : m_event(event), m_part(std::move(part))
+    {
+    }
+    asio::awaitable<boost::system::result<std::string, TransferError>> next() override
+    {
+        if (!m_part.empty()) {
+            co_await m_event.wait();
+        }
+        co_return std::exchange(m_part, {});
+    }
+
+private:
+    Event &m_event;
+    std::string m_part;
+};
+
 class HttpClientTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(HttpClientTest);
@@ -32,6 +52,9 @@
     CPPUNIT_TEST(endlessAnswersAreBounded);
     CPPUNIT_TEST(endlessBodyIsNotReadWhole);
     CPPUNIT_TEST(lateCopyOfAnAnswerReachesNoOtherRequest);
+    CPPUNIT_TEST(repeatedRefusalReachesNoOtherRequest);
+    CPPUNIT_TEST(headThatIsCutOffIsNoAnswer);
+    CPPUNIT_TEST(unframedAnswerResetDuringTheRequestIsNotWhole);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -352,6 +375,85 @@
         }
     }
 
+    // Guards against a refusal that a faulty server writes once more, with or without the id of its request, and that
+    // is told to the next request on the connection, which runs.
+    void repeatedRefusalReachesNoOtherRequest()
+    {
+        for (const std::string &copy : {refusalOf("id-1"), refusalOf("")}) {
+            for (const bool isAnswered : {true, false}) {
+                m_loop.run([this, copy, isAnswered]() -> asio::awaitable<void> {
+                    RawListener peer(m_loop.context);
+                    auto serve = [&]() -> asio::awaitable<void> {
+                        auto connection = co_await peer.accept();
+                        co_await connection.receive("\r\n\r\n");
+                        co_await connection.send(refusalOf("id-1"));
+                        co_await connection.receive("\r\n\r\n");
+                        co_await connection.send(copy);
+                        if (isAnswered) {
+                            co_await connection.send(answerTo("id-2", "two"));
+                        }
+                    };
+                    asio::co_spawn(m_loop.context, serve(), asio::detached);
+                    const auto first = co_await exchangeWithId(peer.address(), "id-1");
+                    CPPUNIT_ASSERT_EQUAL(503U, first->message.result_int());
+                    const auto second = co_await exchangeWithId(peer.address(), "id-2");
+                    CPPUNIT_ASSERT_EQUAL(isAnswered, second.has_value());
+                    CPPUNIT_ASSERT(!isAnswered || second->message.body() == "two");
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_client.openConnections(peer.address()));
+                }());
+            }
+        }
+    }
+
+    // Guards against an answer with a short body that is made from the part of a head.
+    void headThatIsCutOffIsNoAnswer()
+    {
+        for (const std::string &head :
+             {answerTo("id-1", ""), std::string("HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nServer-Signature: s\r\n\r\n"),
+              std::string("HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nTransfer-Encoding: chunked\r\n\r\n")}) {
+            for (std::size_t length = 0; length < head.size(); ++length) {
+                m_loop.run([this, part = head.substr(0, length)]() -> asio::awaitable<void> {
+                    RawListener peer(m_loop.context);
+                    spawnAnswer(peer, part);
+                    const auto answer = co_await exchangeWithId(peer.address(), "id-1");
+                    CPPUNIT_ASSERT_MESSAGE(part, answer.has_error());
+                    CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_client.openConnections(peer.address()));
+                }());
+            }
+        }
+    }
+
+    // Guards against a part of an answer that passes for the whole one: the write that fails after a reset takes the
+    // error from the socket, and the reads after it see a clean end.
+    void unframedAnswerResetDuringTheRequestIsNotWhole()
+    {
+        m_loop.run([this]() -> asio::awaitable<void> {
+            RawListener peer(m_loop.context);
+            Event isReset(m_loop.context);
+            auto serve = [&]() -> asio::awaitable<void> {
+                auto connection = co_await peer.accept();
+                co_await connection.receive("\r\n\r\n");
+                co_await connection.send("HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\n\r\nhalf of the bo");
+                // The answer arrives before the reset, which would else discard it.
+                asio::steady_timer timer(m_loop.context, std::chrono::milliseconds(100));
+                co_await timer.async_wait(AsTuple);
+                connection.reset();
+                isReset.set();
+            };
+            asio::co_spawn(m_loop.context, serve(), asio::detached);
+            auto request = makeRequest(boost::beast::http::verb::post, "/", "a", "begin");
+            request.message.set("Request-Id", "id-1");
+            request.message.content_length(10);
+            request.rest = std::make_unique<PartAfter>(isReset, "after");
+            ExchangeOptions options;
+            options.deadline = monotonicNow() + std::chrono::seconds(5);
+            options.closeDelimited = true;
+            options.echoField = "Request-Id";
+            const auto answer = co_await m_client.send(peer.address(), std::move(request), options);
+            CPPUNIT_ASSERT(answer.has_error());
+        }());
+    }
+
 private:
     /// Sends a text, and then another one again and again until the connection is closed.
     struct EndlessPeer
@@ -402,6 +504,12 @@
         }());
     }
 
+    static std::string refusalOf(const std::string &id)
+    {
+        return "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: " + id
+            + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    }
+
     static std::string answerTo(const std::string &id, const std::string &body)
     {
         return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: " + std::to_string(body.size())
--- a/tests/net/loop.h
+++ b/tests/net/loop.h
@@ -114,6 +114,13 @@
         ErrorCode ignored;
         m_socket.close(ignored);
     }
+    /// Closes the connection with a reset.
+    void reset()
+    {
+        ErrorCode ignored;
+        m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        m_socket.close(ignored);
+    }
 
 private:
     boost::asio::ip::tcp::socket m_socket;
