--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -144,6 +144,8 @@
         self.reported_address = None
         self.announce = None
         self.slow = False
+        self.held = None  # While it is an event that is not set, requests wait for it.
+        self.slots = 6
         self.lose = 0.0
 
     async def start(self):
@@ -167,7 +169,7 @@
             self.sequence += 1
             state, upstream_id = self.state, self.id
             body = {"service": self.service, "address": "%s:%d" % self.reported_address, "zone": "z",
-                    "version": "v1", "slots": 6, "state": state, "cold_remaining": "0ms",
+                    "version": "v1", "slots": self.slots, "state": state, "cold_remaining": "0ms",
                     "sequence": self.sequence, "born": self.born}
             answer = await call(self.announce, "POST", f"/rpc?call=instances.heartbeat&of={upstream_id}",
                                 {"Host": "n"}, json.dumps(body).encode(), 1.0)
@@ -193,6 +195,8 @@
             self.late_deliveries.append(request)
         self.ran.setdefault(request, []).append((self.service, time.monotonic()))
         await asyncio.sleep(0.4 if self.slow else 0.02)
+        if self.held:
+            await self.held.wait()
         if self.random.random() < self.lose:
             raise ConnectionResetError("answer lost")
         return encode("HTTP/1.1 200 OK", {"Request-Id": request, "Server-Signature": self.name},
