--- a/src/relay/leaverecorder.h
+++ b/src/relay/leaverecorder.h
@@ -6,9 +6,10 @@
 // first request. The record of a node is overwritten at the next leave, so the store holds one item of a few hundred
 // bytes for each node that an upstream ever left.
 //
-// A leave is acknowledged only when the record is safe, see confirm(). The store may be away, for this node or for all.
-// Then the record is handed over to other nodes, which keep it in memory, write it once the store takes it, and tell
-// this node, whose process may be a new one by then.
+// A leave is acknowledged only when the store has the record, see confirm(). Only the store outlasts the processes, all
+// of which may be killed at once. If the store is away for this node, the record is handed over to other nodes, which
+// write it once the store takes it, and tell this node, whose process may be a new one by then. While no node can write
+// it, the upstream is not acknowledged, and repeats its report, also to a new process.
 #ifndef GERANIUMSAIL_RELAY_LEAVERECORDER_H
 #define GERANIUMSAIL_RELAY_LEAVERECORDER_H
 
@@ -69,8 +70,8 @@
         m_relay.supervisor().start("leaves", [this] { return run(); });
     }
 
-    /// Completes when all leaves that were reported are safe and may be acknowledged: the store holds them, or other
-    /// nodes do. Returns false if this cannot be achieved in time; the report is to be repeated then.
+    /// Completes when the store holds all leaves that were reported, so that they may be acknowledged. Returns false if
+    /// it does not take them in time; the report is to be repeated then.
     boost::asio::awaitable<bool> confirm()
     {
         const auto startedAt = monotonicNow();
@@ -79,13 +80,12 @@
         bool isHandedOver = false;
         while (!m_ownItem.contains(leaves) && !m_storedByOthers.containsAll(leaves)) {
             const auto now = monotonicNow();
-            const bool isHeld = m_heldByOthers.containsAll(leaves);
-            if ((isHeld && m_handovers == 0) || now >= startedAt + MaxConfirmTime) {
-                co_return isHeld;
+            if (now >= startedAt + MaxConfirmTime) {
+                co_return false;
             }
             if (!isHandedOver && (m_storeFailures != failuresBefore || now >= startedAt + StoreResponseTime)) {
                 isHandedOver = true;
-                startHandovers(leaves);
+                startHandovers(leaves, startedAt + MaxConfirmTime);
                 continue;
             }
             co_await m_changes.wait(isHandedOver ? startedAt + MaxConfirmTime : startedAt + StoreResponseTime);
@@ -136,8 +136,8 @@
         }
     }
 
-    /// Asks other nodes to keep the record, Holders at a time.
-    void startHandovers(const LeaveRecord &record)
+    /// Asks other nodes to store the record, Holders at a time, until the given time.
+    void startHandovers(const LeaveRecord &record, MonotonicTime end)
     {
         auto candidates = m_relay.knownNodes();
         std::erase(candidates, m_relay.settings().node);
@@ -147,50 +147,39 @@
             for (std::size_t j = i; j < candidates.size(); j += Holders) {
                 own.push_back(candidates[j]);
             }
-            ++m_handovers;
-            m_relay.supervisor().startOnce("leave handover", [this, own, record] { return handOver(own, record); });
+            m_relay.supervisor().startOnce("leave handover",
+                                           [this, own, record, end] { return handOver(own, record, end); });
         }
     }
 
-    /// Asks the nodes one after the other until one keeps the record.
-    boost::asio::awaitable<void> handOver(std::vector<NodeName> nodes, LeaveRecord record)
+    /// Asks the nodes one after the other until one keeps the record, and that one until it has stored it.
+    boost::asio::awaitable<void> handOver(std::vector<NodeName> nodes, LeaveRecord record, MonotonicTime end)
     {
-        const HandoverCount count(*this);
+        const LeaveHandover handover{m_relay.settings().node, record};
         for (const auto &node : nodes) {
-            const LeaveHandover handover{m_relay.settings().node, record};
-            const auto result = co_await send(node, handover);
+            auto result = co_await send(node, handover);
+            if (result == HandoverResult::Failed) {
+                continue;
+            }
+            logHandover(node, result);
+            while (result == HandoverResult::Held && monotonicNow() < end) {
+                co_await sleep(MinBackoff);
+                result = co_await send(node, handover);
+            }
             if (result == HandoverResult::Stored) {
                 m_storedByOthers.merge(record);
-            } else if (result == HandoverResult::Held) {
-                m_heldByOthers.merge(record);
-            }
-            if (result != HandoverResult::Failed) {
-                m_relay.reporter().logImportant(EventLine("leaves_handed_over")
-                                                    .add("node", node.value())
-                                                    .add("stored", result == HandoverResult::Stored ? "yes" : "no"));
-                co_return;
+                m_changes.notifyAll();
             }
+            co_return;
         }
     }
 
-    /// Counts a running handover, also if an exception ends it.
-    class HandoverCount
+    void logHandover(const NodeName &node, HandoverResult result) const
     {
-    public:
-        explicit HandoverCount(LeaveRecorder &recorder) : m_recorder(recorder)
-        {
-        }
-        HandoverCount(const HandoverCount &) = delete;
-        HandoverCount &operator=(const HandoverCount &) = delete;
-        ~HandoverCount()
-        {
-            --m_recorder.m_handovers;
-            m_recorder.m_changes.notifyAll();
-        }
-
-    private:
-        LeaveRecorder &m_recorder;
-    };
+        m_relay.reporter().logImportant(EventLine("leaves_handed_over")
+                                            .add("node", node.value())
+                                            .add("stored", result == HandoverResult::Stored ? "yes" : "no"));
+    }
 
     boost::asio::awaitable<HandoverResult> send(NodeName receiver, LeaveHandover handover)
     {
@@ -300,9 +289,7 @@
     std::uint64_t m_storeFailures = 0; ///< Failed calls for the own item.
     Notifier m_changes; ///< Of all members below and of the own leaves.
     HttpClient m_peerClient;
-    LeaveRecord m_heldByOthers; ///< Own leaves in the memory of other nodes.
     LeaveRecord m_storedByOthers; ///< Own leaves that other nodes have stored.
-    std::size_t m_handovers = 0; ///< Running handovers of own leaves.
     std::map<NodeName, HeldRecord> m_held;
 };
 
--- a/tests/platform/leavetest.cpp
+++ b/tests/platform/leavetest.cpp
@@ -27,6 +27,9 @@
     CPPUNIT_TEST(unreadableLeaveRecordIsReplaced);
     CPPUNIT_TEST(leaveIsRecordedByAnotherNodeWhileTheStoreRefusesThisOne);
     CPPUNIT_TEST(leaveIsHeldByAnotherNodeWhileTheStoreIsUnavailable);
+    CPPUNIT_TEST(drainingIsNotAcknowledgedWhileTheStoreIsUnavailable);
+    CPPUNIT_TEST(deregistrationIsNotAcknowledgedWhileTheStoreIsUnavailable);
+    CPPUNIT_TEST(leaveIsAcknowledgedAsSoonAsTheStoreIsBack);
     CPPUNIT_TEST(leaveThatNothingRecordsIsNotAcknowledged);
     CPPUNIT_TEST(anyNumberOfLeavesIsRecorded);
     CPPUNIT_TEST_SUITE_END();
@@ -114,14 +117,15 @@
         checkThatItStaysLeftAfterRestart();
     }
 
-    // The same if the store is away for all nodes.
+    // Guards against a leave that is forgotten with the process of the node although another node lives on. It is not
+    // acknowledged while only the memory of nodes holds it.
     void leaveIsHeldByAnotherNodeWhileTheStoreIsUnavailable()
     {
         m_books->announce(UpstreamPhase::Ready, 1);
         m_loop->runUntil([this] { return statusOfPost() == 200; });
         m_store->unavailable = true;
         m_books->announce(UpstreamPhase::Draining, 3);
-        CPPUNIT_ASSERT(isAcknowledged());
+        CPPUNIT_ASSERT(!isAcknowledged());
         // The first process never reaches the store again.
         m_gate->refuses = true;
         m_books->relay.beginStop();
@@ -142,6 +146,40 @@
         m_loop->runUntil([this] { return statusOfPost() == 200; });
     }
 
+    // Guards against acknowledged leaves that are forgotten when all processes are killed while the store is down.
+    void drainingIsNotAcknowledgedWhileTheStoreIsUnavailable()
+    {
+        m_books->announce(UpstreamPhase::Ready, 1);
+        m_loop->runUntil([this] { return statusOfPost() == 200; });
+        m_store->unavailable = true;
+        m_books->announce(UpstreamPhase::Draining, 3);
+        checkThatItIsNotAcknowledgedUntilStored();
+    }
+
+    void deregistrationIsNotAcknowledgedWhileTheStoreIsUnavailable()
+    {
+        m_books->announce(UpstreamPhase::Ready, 1);
+        m_loop->runUntil([this] { return statusOfPost() == 200; });
+        m_store->unavailable = true;
+        m_books->relay.onUpstreamDeregistration(UpstreamId("i-books-1"), 1);
+        checkThatItIsNotAcknowledgedUntilStored();
+    }
+
+    // Guards against an acknowledgement that waits for the next report of the upstream although another node has stored
+    // the leave in time.
+    void leaveIsAcknowledgedAsSoonAsTheStoreIsBack()
+    {
+        m_books->announce(UpstreamPhase::Ready, 1);
+        m_loop->runUntil([this] { return statusOfPost() == 200; });
+        m_gate->refuses = true;
+        m_store->unavailable = true;
+        asio::steady_timer timer(m_loop->context, milliseconds(300));
+        timer.async_wait([this](const ErrorCode &) { m_store->unavailable = false; });
+        m_books->relay.onUpstreamDeregistration(UpstreamId("i-books-1"), 1);
+        CPPUNIT_ASSERT(isAcknowledged());
+        CPPUNIT_ASSERT(m_store->valueOf(RecordKey).find("i-books-1") != std::string::npos);
+    }
+
     // Guards against an acknowledgement that a restart of the node would break.
     void leaveThatNothingRecordsIsNotAcknowledged()
     {
@@ -184,6 +222,15 @@
     {
         isSafe = co_await m_books->leaveRecorder.confirm();
     }
+    void checkThatItIsNotAcknowledgedUntilStored()
+    {
+        CPPUNIT_ASSERT(!isAcknowledged());
+        // Nothing is delivered meanwhile.
+        CPPUNIT_ASSERT_EQUAL(503U, statusOfPost());
+        m_store->unavailable = false;
+        m_loop->runUntil([this] { return isAcknowledged(); });
+        CPPUNIT_ASSERT(m_store->valueOf(RecordKey).find("i-books-1") != std::string::npos);
+    }
     /// Stops the node as planned, and starts it again beside the same upstream.
     void restart()
     {
