--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -59,8 +59,10 @@
 class HttpClient::RestReader : public BodyReader
 {
 public:
-    RestReader(std::unique_ptr<Lease> lease, std::unique_ptr<Parser> parser, Cancellation *cancellation, bool mayReuse)
-        : m_lease(std::move(lease)), m_parser(std::move(parser)), m_cancellation(cancellation), m_mayReuse(mayReuse)
+    RestReader(std::unique_ptr<Lease> lease, std::unique_ptr<Parser> parser, const ExchangeOptions &options,
+               bool mayReuse)
+        : m_lease(std::move(lease)), m_parser(std::move(parser)), m_deadline(options.deadline),
+          m_cancellation(options.cancellation), m_mayReuse(mayReuse)
     {
         if (m_cancellation != nullptr) {
             auto &stream = m_lease->connection().stream;
@@ -73,6 +75,10 @@
         if (!m_lease) {
             co_return std::string();
         }
+        if (isOver(m_deadline)) {
+            release();
+            co_return TransferError::TimedOut;
+        }
         auto &connection = m_lease->connection();
         std::string part;
         const auto error = co_await readPart(connection.stream, connection.buffer, *m_parser, part);
@@ -102,6 +108,7 @@
 
     std::unique_ptr<Lease> m_lease;
     std::unique_ptr<Parser> m_parser;
+    MonotonicTime m_deadline;
     Cancellation *m_cancellation;
     bool m_mayReuse;
     Cancellation::Registration m_registration;
@@ -170,7 +177,8 @@
     auto &stream = m_lease->connection().stream;
     ErrorCode error;
     if (request.rest) {
-        const auto written = co_await writeStreamed(stream, request.message, *request.rest, Duration(0));
+        const auto written =
+            co_await writeStreamed(stream, request.message, *request.rest, {.part = {}, .end = m_options.deadline});
         if (written.sourceError) {
             co_return *written.sourceError;
         }
@@ -221,8 +229,8 @@
             co_return TransferError::TruncatedAnswer;
         }
         std::string dropped;
-        const auto dropError =
-            co_await readBody(connection.stream, connection.buffer, *m_parser, dropped, WholeBodyLimit);
+        const auto dropError = co_await readBody(connection.stream, connection.buffer, *m_parser, dropped,
+                                                 WholeBodyLimit, m_options.deadline);
         if (dropError || !m_parser->is_done()) {
             co_return TransferError::TruncatedAnswer;
         }
@@ -233,7 +241,8 @@
 {
     auto &connection = m_lease->connection();
     std::string body;
-    if (const auto error = co_await readBody(connection.stream, connection.buffer, *m_parser, body, WholeBodyLimit)) {
+    if (const auto error = co_await readBody(connection.stream, connection.buffer, *m_parser, body, WholeBodyLimit,
+                                             m_options.deadline)) {
         co_return afterSend(error);
     }
     HttpResponse response;
@@ -241,8 +250,8 @@
     response.message.body() = std::move(body);
     m_registration = {};
     if (!m_parser->is_done()) {
-        response.rest =
-            std::make_unique<RestReader>(std::move(m_lease), std::move(m_parser), m_options.cancellation, m_mayReuse);
+        response.rest = std::make_unique<RestReader>(std::move(m_lease), std::move(m_parser), m_options, m_mayReuse);
+        response.restDeadline = m_options.deadline;
         co_return response;
     }
     if (m_parser->chunked() || m_parser->need_eof()) {
--- a/src/net/httpmessage.h
+++ b/src/net/httpmessage.h
@@ -7,6 +7,7 @@
 #define GERANIUMSAIL_NET_HTTPMESSAGE_H
 
 #include "core/errorkind.h"
+#include "core/units.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/http/message.hpp>
@@ -14,6 +15,7 @@
 #include <boost/system/result.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -65,6 +67,9 @@
 {
     HttpResponseMessage message;
     std::unique_ptr<BodyReader> rest; ///< Null if message.body() is the whole body.
+    /// The rest is to be passed on by then, or the answer is broken off; unset for no limit. An answer that is whole is
+    /// sent whenever it is ready.
+    std::optional<MonotonicTime> restDeadline;
 };
 
 /// The whole body of an answer, for callers that need it at once. The error of its reader if it ends early;
--- a/src/net/httpsession.cpp
+++ b/src/net/httpsession.cpp
@@ -21,6 +21,8 @@
 /// Most heads fit in the first read.
 constexpr std::size_t FirstRead = 4096;
 constexpr auto DrainTime = std::chrono::seconds(1);
+/// What the system holds of a long answer that its caller reads slowly. Left to itself, the system holds megabytes.
+constexpr int StreamSendBuffer = 64 * 1024;
 /// Time that a connection without any request has after stop() to send its first. A caller sends it a round trip after
 /// it opened the connection.
 constexpr Duration FirstRequestTime = std::chrono::milliseconds(300);
@@ -300,18 +302,35 @@
         co_return !error && keepAlive;
     }
     if (response.rest) {
-        const auto result = co_await writeStreamed(m_stream, response.message, *response.rest, m_limits.write);
-        if (result.sourceError) {
-            // The caller must not take the part that was sent for the whole.
-            m_stream.close();
-        }
-        co_return !result.error && !result.sourceError && keepAlive;
+        co_return co_await respondStreamed(response) && keepAlive;
     }
     m_stream.expires_after(m_limits.write);
     auto [error, count] = co_await http::async_write(m_stream, response.message, AsTuple);
     co_return !error && keepAlive;
 }
 
+/// False if the answer was broken off.
+asio::awaitable<bool> HttpSession::respondStreamed(HttpResponse &response)
+{
+    // A broken answer ends with a reset, which drops what the system holds for the caller. Otherwise a caller that
+    // reads slowly would get all of it, and learn of the end, much later. The caller cannot take the part for the
+    // whole.
+    ErrorCode ignored;
+    m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    m_stream.socket().set_option(asio::socket_base::send_buffer_size(StreamSendBuffer), ignored);
+    const auto result = co_await writeStreamed(m_stream, response.message, *response.rest,
+                                               {.part = m_limits.write, .end = response.restDeadline});
+    if (result.error == boost::beast::error::timeout) {
+        LOG_EVERY_T(WARNING, 1) << "event=answer_cut reason=\"not passed on in time\"";
+    }
+    if (result.error || result.sourceError) {
+        m_stream.close();
+        co_return false;
+    }
+    m_stream.socket().set_option(asio::socket_base::linger(false, 0), ignored);
+    co_return true;
+}
+
 /// A request with a ticket may have run through another connection, so only a malformed one is said not to have run.
 asio::awaitable<void> HttpSession::refuseWith(ErrorKind kind, const Parser &parser)
 {
--- a/src/net/httpsession.h
+++ b/src/net/httpsession.h
@@ -31,6 +31,7 @@
     boost::asio::awaitable<ErrorCode> readHead(Parser &parser);
     boost::asio::awaitable<bool> handleRequest(Parser &parser, HttpRequest request);
     boost::asio::awaitable<bool> respond(HttpResponse &response, bool isHead, bool keepAlive);
+    boost::asio::awaitable<bool> respondStreamed(HttpResponse &response);
     boost::asio::awaitable<void> refuseWith(ErrorKind kind, const Parser &parser);
     boost::asio::awaitable<void> close(bool unreadInput);
     bool hasCallerLeft();
--- a/src/net/httpwire.h
+++ b/src/net/httpwire.h
@@ -3,6 +3,7 @@
 #define GERANIUMSAIL_NET_HTTPWIRE_H
 
 #include "core/units.h"
+#include "net/clock.h"
 #include "net/httpmessage.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -38,13 +39,24 @@
 /// Growth of a body of unknown length while it is read.
 constexpr std::size_t BodyStep = 16UL * 1024;
 
-/// Reads body bytes until part holds limit bytes or the body ends.
+/// Whether a time limit is over. The expiry of a Beast stream ends only an operation that waits: one that completes at
+/// once, because the peer is fast, cancels the timer before its handler can run. Loops over many operations therefore
+/// have to compare the time themselves.
+inline bool isOver(MonotonicTime end)
+{
+    return monotonicNow() >= end;
+}
+
+/// Reads body bytes until part holds limit bytes or the body ends. The time limit has to be set for the stream too.
 template <bool IsRequest>
 boost::asio::awaitable<ErrorCode>
 readBody(Stream &stream, Buffer &buffer, boost::beast::http::parser<IsRequest, boost::beast::http::buffer_body> &parser,
-         std::string &part, std::size_t limit)
+         std::string &part, std::size_t limit, MonotonicTime end = MonotonicTime::max())
 {
     while (!parser.is_done() && part.size() < limit) {
+        if (isOver(end)) {
+            co_return make_error_code(boost::beast::error::timeout);
+        }
         const auto used = part.size();
         const auto expected = parser.content_length_remaining().value_or(BodyStep);
         const auto room = static_cast<std::size_t>(
@@ -91,13 +103,21 @@
     std::optional<TransferError> sourceError;
 };
 
+/// Limits on writing a streamed message.
+struct WriteLimits
+{
+    std::optional<Duration> part; ///< Each part; unset to keep the expiry of the stream.
+    std::optional<MonotonicTime> end; ///< The whole message.
+};
+
 /// Writes a message whose body continues in rest. Without Content-Length the body is sent in chunks; if rest fails, the
 /// terminating chunk is not sent, and the connection must be closed.
 template <bool IsRequest>
 boost::asio::awaitable<WriteResult>
 writeStreamed(Stream &stream, boost::beast::http::message<IsRequest, boost::beast::http::string_body> &message,
-              BodyReader &rest, Duration partTimeout)
+              BodyReader &rest, WriteLimits limits)
 {
+    const auto end = limits.end.value_or(MonotonicTime::max());
     namespace http = boost::beast::http;
     http::message<IsRequest, http::buffer_body> head{std::move(message.base())};
     if (head.count(http::field::content_length) == 0) {
@@ -109,8 +129,11 @@
     head.body().data = part.empty() ? nullptr : part.data();
     head.body().size = part.size();
     while (true) {
-        if (partTimeout.count() > 0) {
-            stream.expires_after(partTimeout);
+        if (isOver(end)) {
+            co_return WriteResult{make_error_code(boost::beast::error::timeout), std::nullopt};
+        }
+        if (limits.part) {
+            stream.expires_at(toSteady(std::min(end, monotonicNow() + *limits.part)));
         }
         auto [error, count] = co_await http::async_write(stream, serializer, AsTuple);
         if (error && error != http::error::need_buffer) {
--- a/src/relay/requestrouter.cpp
+++ b/src/relay/requestrouter.cpp
@@ -65,6 +65,48 @@
     return Duration(static_cast<Duration::rep>(static_cast<double>(duration.count()) * factor));
 }
 
+const char *transferErrorLabel(TransferError error)
+{
+    switch (error) {
+    case TransferError::TimedOut:
+        return "timed-out";
+    case TransferError::CancelledBeforeSend:
+    case TransferError::CancelledAfterSend:
+        return "cancelled";
+    default:
+        return "truncated-answer";
+    }
+}
+
+/// The rest of a long response. Logs why it was broken off: the response was reported as "answered" before.
+class ReportedRest : public BodyReader
+{
+public:
+    ReportedRest(std::unique_ptr<BodyReader> source, const Reporter &reporter, RequestId id)
+        : m_source(std::move(source)), m_reporter(reporter), m_id(std::move(id))
+    {
+    }
+    asio::awaitable<boost::system::result<std::string, TransferError>> next() override
+    {
+        auto part = co_await m_source->next();
+        if (!part) {
+            m_reporter.logImportant(EventLine("answer_cut")
+                                        .add("id", m_id.value())
+                                        .add("reason", transferErrorLabel(part.error()))
+                                        .add("bytes", static_cast<std::int64_t>(m_bytes)));
+        } else {
+            m_bytes += part->size();
+        }
+        co_return part;
+    }
+
+private:
+    std::unique_ptr<BodyReader> m_source;
+    const Reporter &m_reporter;
+    RequestId m_id;
+    std::uint64_t m_bytes = 0; ///< Passed on, without the first part.
+};
+
 } // namespace
 
 /// State of one request from its arrival to its response.
@@ -434,6 +476,9 @@
     averageBytes += (static_cast<double>(result.response.message.body().size()) - averageBytes) * ResponseBytesWeight;
     reportResponse(state, result, result.response.message.result_int());
     removeHopFields(result.response.message);
+    if (result.response.rest) {
+        result.response.rest = std::make_unique<ReportedRest>(std::move(result.response.rest), m_reporter, state.id);
+    }
     return std::move(result.response);
 }
 
