--- a/src/config/jsonfields.h
+++ b/src/config/jsonfields.h
@@ -13,11 +13,16 @@
 
 using Json = nlohmann::json;
 
-/// Returns a discarded value if the text is not valid JSON.
-inline Json parseJson(std::string_view text)
-{
-    return Json::parse(text, nullptr, false);
-}
+/// Limits on a text that is parsed. A parsed value takes up to a hundred times the length of its text: an empty array
+/// is two characters and 50 bytes, and deep nesting takes more.
+constexpr int MaxJsonDepth = 64;
+/// The largest configuration that the store accepts (1 MB) has fewer.
+constexpr std::size_t MaxJsonValues = 200'000;
+/// Texts up to this length are parsed without a check of these limits.
+constexpr std::size_t UncheckedJsonBytes = 64UL * 1024;
+
+/// Returns a discarded value if the text is not valid JSON, or is over the limits.
+Json parseJson(std::string_view text);
 
 inline const Json *findField(const Json &object, const char *name)
 {
