--- a/src/core/upstreamgate.cpp
+++ b/src/core/upstreamgate.cpp
@@ -30,6 +30,9 @@
         const bool sameIncarnation = current.id == report.id && current.startedMs == report.startedMs;
         const bool older = sameIncarnation ? report.sequence <= current.sequence : report.startedMs < current.startedMs;
         if (older) {
+            if (report.phase != UpstreamPhase::Ready) {
+                restoreLeave(report.id, report.startedMs);
+            }
             return ReportVerdict::Stale;
         }
     }
--- a/src/core/upstreamgate.h
+++ b/src/core/upstreamgate.h
@@ -53,7 +53,7 @@
 
 enum class ReportVerdict {
     Applied,
-    Stale, ///< Older than the current state, which does not change.
+    Stale, ///< Older than the current state, which does not change, except that a leave is recorded.
     Foreign, ///< Names another service or address than that of the upstream beside this node; ignored.
 };
 
--- a/src/relay/upstreamproxy.cpp
+++ b/src/relay/upstreamproxy.cpp
@@ -132,6 +132,8 @@
             m_upstreamClient.dropIdle(m_upstreamAddress);
             startQueuedRequests();
         }
+    } else if (wasOpen && m_gate.availableUpstream(now) == nullptr) {
+        refuseQueuedRequests();
     }
     return verdict;
 }
--- a/tests/core/upstreamgatetest.cpp
+++ b/tests/core/upstreamgatetest.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(rememberedLeavesAreBounded);
     CPPUNIT_TEST(earlierLeaveClosesTheGate);
     CPPUNIT_TEST(reportOrderDoesNotMatter);
+    CPPUNIT_TEST(lateLeaveIsRecorded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -61,6 +62,19 @@
         CPPUNIT_ASSERT(m_gate.availableUpstream(m_now) == nullptr);
     }
 
+    // Guards against a leave that is acknowledged and not recorded because its report arrives after one of a later
+    // incarnation: a report of the earlier one would open the gate of the next process of the node.
+    void lateLeaveIsRecorded()
+    {
+        m_gate.onReport(report("i2", 6, 1, UpstreamPhase::Ready), m_now);
+        CPPUNIT_ASSERT(m_gate.onReport(report("i1", 5, 4, UpstreamPhase::Draining), m_now) == ReportVerdict::Stale);
+        CPPUNIT_ASSERT(m_gate.leaves().contains(UpstreamId("i1"), 5));
+        CPPUNIT_ASSERT(m_gate.availableUpstream(m_now) != nullptr);
+        m_gate.onReport(report("i2", 6, 3, UpstreamPhase::Ready), m_now);
+        CPPUNIT_ASSERT(m_gate.onReport(report("i2", 6, 2, UpstreamPhase::Draining), m_now) == ReportVerdict::Stale);
+        CPPUNIT_ASSERT(m_gate.availableUpstream(m_now) == nullptr);
+    }
+
     // Guards against deliveries to an upstream that deregistered but still accepts requests for a while.
     void deregistrationIsFinalAlsoWithoutDraining()
     {
