--- a/src/relay/leaveitem.h
+++ b/src/relay/leaveitem.h
@@ -32,6 +32,12 @@
         return isRead() && m_record.containsAll(record);
     }
 
+    /// The store may have lost the item.
+    void forget()
+    {
+        m_revision.reset();
+    }
+
     boost::asio::awaitable<std::optional<StoreError>> read()
     {
         const auto stored = co_await m_store.readLeaves(m_node);
--- a/src/relay/leaverecorder.h
+++ b/src/relay/leaverecorder.h
@@ -65,6 +65,7 @@
     void start()
     {
         m_relay.awaitEarlierLeaves();
+        m_store.observeRestores([this] { onStoreRestored(); });
         m_relay.setLeaveObserver([this] { m_changes.notifyAll(); });
         m_relay.setLeaveHandoverHandler([this](HttpRequest request) { return onHandover(std::move(request)); });
         m_relay.supervisor().start("leaves", [this] { return run(); });
@@ -101,6 +102,17 @@
         LeaveItem<Store> item;
     };
 
+    /// The store may have lost records that it had acknowledged. They are read and written again.
+    void onStoreRestored()
+    {
+        m_ownItem.forget();
+        m_storedByOthers = {};
+        for (auto &[node, held] : m_held) {
+            held.item.forget();
+        }
+        m_changes.notifyAll();
+    }
+
     /// Reads the own record, and writes it after each leave.
     boost::asio::awaitable<void> run()
     {
--- a/src/relay/metadatastore.h
+++ b/src/relay/metadatastore.h
@@ -1,6 +1,8 @@
 // Interface of a relay node to the platform's metadata store, in terms of the product's own types.
 //
-// The adapter of a platform implements the concept and encapsulates keys, encodings and calls.
+// The adapter of a platform implements the concept and encapsulates keys, encodings and calls. Revisions never go back.
+// If the store itself has lost changes that it had acknowledged, the adapter makes up revisions that are higher, and
+// tells the observers of restores, which write again what this node had written.
 #ifndef GERANIUMSAIL_RELAY_METADATASTORE_H
 #define GERANIUMSAIL_RELAY_METADATASTORE_H
 
@@ -11,6 +13,7 @@
 #include <boost/system/result.hpp>
 
 #include <concepts>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -91,6 +94,12 @@
     {
         store.watchEntries(revision, duration)
         } -> std::same_as<boost::asio::awaitable<StoreResult<EntryChanges>>>;
+    {
+        store.observeRestores(std::function<void()>())
+        } -> std::same_as<void>;
+    {
+        store.onRevision(revision)
+        } -> std::same_as<void>;
     {
         store.grantLease(duration)
         } -> std::same_as<boost::asio::awaitable<StoreResult<LeaseId>>>;
--- a/src/relay/storefollower.h
+++ b/src/relay/storefollower.h
@@ -86,6 +86,7 @@
             m_dirty = true;
             m_publishTimer.cancel();
         });
+        m_store.observeRestores([this] { onStoreRestored(); });
         m_startedAt = monotonicNow();
         m_relay.supervisor().start("configuration", [this] { return followConfiguration(); });
         m_relay.supervisor().start("entries", [this] { return followEntries(); });
@@ -102,6 +103,17 @@
     }
 
 private:
+    /// The store may have lost the own entry and its lease.
+    void onStoreRestored()
+    {
+        m_relay.reporter().logImportant(
+            EventLine("store_restored").add("effect", "entry and leaves are written again"));
+        m_lease.reset();
+        m_publishedEntry.reset();
+        m_dirty = true;
+        m_publishTimer.cancel();
+    }
+
     boost::asio::awaitable<void> sleep(Duration duration)
     {
         boost::asio::steady_timer timer(m_context, duration);
@@ -209,6 +221,7 @@
         if (entriesAge >= MaxEntriesAge) {
             co_return "no recent entries";
         }
+        m_store.onRevision(feedResponse->revision);
         feed.recordProof(now - *feedResponse->proofAge, feedResponse->revision);
         EntryChanges unchanged;
         unchanged.revision = feed.entries().revision();
--- a/tests/platform/fakestore.cpp
+++ b/tests/platform/fakestore.cpp
@@ -49,7 +49,7 @@
 
 FakeStore::FakeStore(asio::io_context &context)
     : m_context(context), m_server(context.get_executor(), ServerLimits{},
-                                   [this](HttpRequest request, RequestScope &) { return handle(std::move(request)); }),
+                                   [this](HttpRequest request, RequestScope &) { return answer(std::move(request)); }),
       m_address(m_server.listen(Address("127.0.0.1:0")))
 {
 }
@@ -107,6 +107,29 @@
     }
 }
 
+std::shared_ptr<const FakeStore::Copy> FakeStore::copy() const
+{
+    return std::make_shared<Copy>(Copy{m_items, m_leases, m_revision, m_nextLease});
+}
+
+void FakeStore::restore(const Copy &copy)
+{
+    m_items = copy.items;
+    m_leases = copy.leases;
+    m_revision = copy.revision;
+    m_nextLease = copy.nextLease;
+    m_history.clear();
+    m_compactedAt = m_revision;
+    ++m_era;
+}
+
+asio::awaitable<HttpResponse> FakeStore::answer(HttpRequest request)
+{
+    auto response = co_await handle(std::move(request));
+    response.message.set("Store-Era", std::to_string(m_era));
+    co_return response;
+}
+
 asio::awaitable<HttpResponse> FakeStore::handle(HttpRequest request)
 {
     const std::string target(request.message.target());
@@ -192,7 +215,7 @@
     auto events = Json::array();
     bool waiting = true;
     while (waiting) {
-        if (after < m_compactedAt) {
+        if (after < m_compactedAt || after > m_revision) {
             co_return json(410, Json::object());
         }
         expireLeases();
--- a/tests/platform/fakestore.h
+++ b/tests/platform/fakestore.h
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <map>
+#include <memory>
 #include <set>
 
 namespace Geraniumsail {
@@ -36,6 +37,11 @@
     /// Discards the history, so that watches get 410 until the keys are read again.
     void compact();
 
+    /// Everything that the store holds. restore() puts it in place, as the platform does with a copy.
+    struct Copy;
+    std::shared_ptr<const Copy> copy() const;
+    void restore(const Copy &copy);
+
     bool unavailable = false; ///< Every request gets 503.
     std::size_t pageSize = 500; ///< Items in one range response.
     int lostWriteResponses = 0; ///< Number of next writes that take effect but get no response in time.
@@ -51,6 +57,7 @@
         std::uint64_t lease = 0;
     };
 
+    boost::asio::awaitable<HttpResponse> answer(HttpRequest request);
     boost::asio::awaitable<HttpResponse> handle(HttpRequest request);
     HttpResponse read(const std::string &key) const;
     HttpResponse range(const std::string &prefix, const std::string &after) const;
@@ -69,6 +76,15 @@
     std::uint64_t m_revision = 1;
     std::uint64_t m_compactedAt = 0;
     std::uint64_t m_nextLease = 100;
+    std::uint64_t m_era = 1;
+};
+
+struct FakeStore::Copy
+{
+    std::map<std::string, Item> items;
+    std::map<std::uint64_t, std::pair<MonotonicTime, Duration>> leases;
+    std::uint64_t revision = 0;
+    std::uint64_t nextLease = 0;
 };
 
 } // namespace Geraniumsail
--- a/tests/platform/leavetest.cpp
+++ b/tests/platform/leavetest.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(deregistrationIsNotAcknowledgedWhileTheStoreIsUnavailable);
     CPPUNIT_TEST(leaveIsAcknowledgedAsSoonAsTheStoreIsBack);
     CPPUNIT_TEST(leaveThatNothingRecordsIsNotAcknowledged);
+    CPPUNIT_TEST(recordedLeaveOutlastsARestoreOfTheStore);
     CPPUNIT_TEST(anyNumberOfLeavesIsRecorded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -193,6 +194,21 @@
         m_loop->runUntil([this] { return isAcknowledged(); });
     }
 
+    // Guards against an acknowledged leave that is forgotten because the store comes back from a copy that is older
+    // than the record, before the node is restarted.
+    void recordedLeaveOutlastsARestoreOfTheStore()
+    {
+        m_books->announce(UpstreamPhase::Ready, 1);
+        m_loop->runUntil([this] { return statusOfPost() == 200; });
+        const auto copy = m_store->copy();
+        m_books->relay.onUpstreamDeregistration(UpstreamId("i-books-1"), 1);
+        CPPUNIT_ASSERT(isAcknowledged());
+        m_store->restore(*copy);
+        CPPUNIT_ASSERT(!m_store->has(RecordKey));
+        m_loop->runUntil([this] { return m_store->valueOf(RecordKey).find("i-books-1") != std::string::npos; });
+        checkThatItStaysLeftAfterRestart();
+    }
+
     // Guards against endless writes once there are more leaves than a record holds.
     void anyNumberOfLeavesIsRecorded()
     {
--- a/tests/platform/storefollowertest.cpp
+++ b/tests/platform/storefollowertest.cpp
@@ -73,6 +73,7 @@
     CPPUNIT_TEST(publishesAfterAnException);
     CPPUNIT_TEST(missingConfigurationIsWatchedNotPolled);
     CPPUNIT_TEST(configurationIsInForceInTimeAfterALostAnswer);
+    CPPUNIT_TEST(storeIsFollowedAfterItsRestore);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -184,6 +185,41 @@
         static_cast<void>(gate.release());
     }
 
+    // Guards against a node that ignores what the store holds after it came back from an older copy, because its
+    // revisions are lower than those known, and that leaves its own lost entry unwritten.
+    void storeIsFollowedAfterItsRestore()
+    {
+        const auto early = m_store->copy();
+        m_node->announce(UpstreamPhase::Draining, 2);
+        m_loop->runUntil(
+            [this] { return m_store->valueOf("geraniumsail/nodes/books-1").find("draining") != std::string::npos; });
+        DirectoryEntry entry;
+        entry.node = NodeName("lost");
+        entry.peer = Address("127.0.0.1:9");
+        entry.upstream = UpstreamId("i-lost");
+        entry.service = ServiceName("books");
+        entry.slots = Slots(1);
+        for (int i = 0; i < 50; ++i) {
+            m_store->put("geraniumsail/nodes/lost", encodeEntry(entry));
+        }
+        m_store->put("op/config", configuration(8));
+        m_loop->runUntil([this] {
+            return m_node->relay.configurationVersion() == ConfigVersion(8) && m_node->relay.knownEntries() == 2;
+        });
+        m_store->restore(*early);
+        entry.node = NodeName("new");
+        m_store->put("geraniumsail/nodes/new", encodeEntry(entry));
+        const auto restoredAt = monotonicNow();
+        m_loop->runUntil([this] {
+            return m_store->valueOf("geraniumsail/nodes/books-1").find("draining") != std::string::npos
+                && m_node->relay.findEntry(NodeName("new")) != nullptr;
+        });
+        CPPUNIT_ASSERT(monotonicNow() - restoredAt < seconds(2));
+        CPPUNIT_ASSERT(m_node->relay.configurationVersion() == ConfigVersion(8));
+        m_store->put("op/config", configuration(9));
+        m_loop->runUntil([this] { return m_node->relay.configurationVersion() == ConfigVersion(9); });
+    }
+
 private:
     void runFor(Duration time)
     {
