--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -27,6 +27,12 @@
 else
     failed=$((failed + 1))
 fi
+echo "== leaves while the store is down and all nodes end"
+if python3 tests/soak/leavesoak.py "$build/platform/geraniumsail-relay"; then
+    passed=$((passed + 1))
+else
+    failed=$((failed + 1))
+fi
 echo "== servers that send without end"
 if python3 tests/servers/endlessservers.py "$build/platform/geraniumsail-relay" --form nested-json \
     --form json-of-empty-arrays --form trailers-one-by-one; then
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -92,7 +92,8 @@
             "listen": {"caller": text(self.caller), "peer": text(self.peer), "ready": text(self.ready),
                        "announce": text(self.announce), "metrics": text(self.metrics)}, "stopGrace": "6s"}))
         await self.launch()
-        self.soak.tasks.append(asyncio.create_task(self.upstream.report()))
+        self.reporting = asyncio.create_task(self.upstream.report())
+        self.soak.tasks.append(self.reporting)
 
     async def launch(self):
         log = open(self.soak.folder / f"{self.name}.log", "ab")
