--- a/tests/servers/endlessservers.py
+++ b/tests/servers/endlessservers.py
@@ -133,13 +133,13 @@
                 await node.start()
             await asyncio.sleep(2.5)
             sampler = asyncio.create_task(self.sample())
-            self.divert()
+            await self.divert()
             requests = [asyncio.create_task(self.request(i)) for i in range(self.arguments.requests)]
             await asyncio.sleep(PLAY_SECONDS)
             if self.server.requests == 0:
                 self.problems.append("the node sent nothing to the server")
             await self.check("while the server goes on", ["books"] if self.server_name == "node" else ["charts"])
-            self.restore()
+            await self.restore()
             await self.check("afterwards", ["books", "charts"])
             if self.node.process.returncode is not None:
                 self.problems.append(f"the process ended with code {self.node.process.returncode}")
@@ -162,7 +162,7 @@
               f"{'; '.join(self.problems)}", flush=True)
         return not self.problems
 
-    def divert(self):
+    async def divert(self):
         """Puts the endless server in the place of the real one."""
         if self.server_name == "upstream":
             self.node.to_upstream.target = self.server.address
@@ -171,17 +171,20 @@
             self.node.to_store.target = self.server.address
             self.node.to_store.reset()
         else:
+            # The process would write its entry again.
+            await self.other.end(signal.SIGKILL)
             item = self.fleet.store.items[ENTRY_PREFIX + self.other.name]
-            self.entry = base64.b64decode(item["value"]).decode()
-            entry = {**json.loads(self.entry), "peer": soak.text(self.server.address)}
+            entry = {**json.loads(base64.b64decode(item["value"])), "peer": soak.text(self.server.address)}
             self.fleet.store.put(item["key"], json.dumps(entry), item["lease"])
 
-    def restore(self):
+    async def restore(self):
         self.server.stop()
         if self.server_name == "upstream":
             self.node.to_upstream.target = self.node.upstream.address
         elif self.server_name == "store":
             self.node.to_store.target = self.fleet.store.address
+        else:
+            await self.other.launch()
 
     async def request(self, number):
         """Repeats a request that reaches the server, until the case ends."""
