Log and count whole reads of the store, with the positions that a node continues from

Change: store_read (revision, known, verdict) for each read of the whole content, geraniumsail_store_reads_total; position in dependency_lost; the state is kept for each operation, so that one operation's success does not hide another's failure; store_restored names both histories, the positions and the evidence. No change of logic.

--- a/src/relay/leaverecorder.h
+++ b/src/relay/leaverecorder.h
@@ -65,7 +65,7 @@
     void start()
     {
         m_relay.awaitEarlierLeaves();
-        m_store.observeRestores([this] { onStoreRestored(); });
+        m_store.observeRestores([this](const StoreRestore &) { onStoreRestored(); });
         m_relay.setLeaveObserver([this] { m_changes.notifyAll(); });
         m_relay.setLeaveHandoverHandler([this](HttpRequest request) { return onHandover(std::move(request)); });
         m_relay.supervisor().start("leaves", [this] { return run(); });
--- a/src/relay/metadatastore.h
+++ b/src/relay/metadatastore.h
@@ -64,6 +64,14 @@
     std::uint64_t revision = 0;
 };
 
+/// The store lost changes that it had acknowledged; a new history of it begins (core/storerevision.h).
+struct StoreRestore
+{
+    std::uint64_t historyBefore = 0;
+    std::uint64_t history = 0;
+    std::string_view evidence; ///< From what it was learned.
+};
+
 /// The leaves that the store holds for a node.
 struct StoredLeaves
 {
@@ -95,7 +103,7 @@
         store.watchEntries(revision, duration)
         } -> std::same_as<boost::asio::awaitable<StoreResult<EntryChanges>>>;
     {
-        store.observeRestores(std::function<void()>())
+        store.observeRestores(std::function<void(const StoreRestore &)>())
         } -> std::same_as<void>;
     {
         store.onRevision(revision)
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -1,5 +1,6 @@
 #include "relay/relay.h"
 
+#include "core/storerevision.h"
 #include "net/clock.h"
 #include "net/httpwire.h"
 #include "relay/leavehandover.h"
@@ -483,24 +484,28 @@
     }
     line.add("source", storeSource() ? "node" : "store")
         .add("entries", static_cast<std::int64_t>(m_router.directory().size()))
-        .add("entries_revision", static_cast<std::int64_t>(m_storeFeed.entries().revision()));
+        .add("entries_revision", storeRevisionText(m_storeFeed.entries().revision()));
     m_reporter.logImportant(line);
 }
 
-void Relay::onStoreState(bool up, std::string_view operation, std::string_view reason)
+void Relay::onStoreState(bool up, std::string_view operation, std::string_view reason, std::string_view position)
 {
     if (!up) {
         m_metrics.countStoreError(operation, reason);
     }
-    if (m_storeUp == up) {
+    m_metrics.setStoreUp(up);
+    const std::string failure(up ? "" : reason);
+    const auto known = m_storeFailures.find(operation);
+    if (known != m_storeFailures.end() && known->second == failure) {
         return;
     }
-    m_storeUp = up;
-    m_metrics.setStoreUp(up);
-    m_reporter.logImportant(EventLine(up ? "dependency_regained" : "dependency_lost")
-                                .add("dependency", "store")
-                                .add("operation", operation)
-                                .add("reason", reason));
+    m_storeFailures.insert_or_assign(std::string(operation), failure);
+    EventLine line(up ? "dependency_regained" : "dependency_lost");
+    line.add("dependency", "store").add("operation", operation).add("reason", reason);
+    if (!position.empty()) {
+        line.add("position", position);
+    }
+    m_reporter.logImportant(line);
 }
 
 void Relay::beginStop()
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -105,8 +105,14 @@
     /// Applies changes of the directory, or all of its entries.
     void onEntryChanges(const EntryChanges &changes);
     void onStoreCall(std::string_view operation);
-    /// Records whether the last operation on the store succeeded, and logs changes.
-    void onStoreState(bool up, std::string_view operation, std::string_view reason);
+    /// Records whether the last call of an operation on the store succeeded, and logs changes of that and of the
+    /// reason. position: the revision from which the operation had continued, if it is one that continues.
+    void onStoreState(bool up, std::string_view operation, std::string_view reason, std::string_view position = {});
+    /// Counts a read of the whole content, with what became of it.
+    void onStoreRead(std::string_view operation, std::string_view verdict)
+    {
+        m_metrics.countStoreRead(operation, verdict);
+    }
 
     /// Number of nodes in the directory, with this one.
     std::size_t knownEntries() const
@@ -174,7 +180,8 @@
     std::function<boost::asio::awaitable<HttpResponse>(HttpRequest)> m_leaveHandoverHandler;
     std::function<void()> m_acceptEndObserver;
     std::int64_t m_processStartedMs;
-    std::optional<bool> m_storeUp;
+    /// Reason of the last failure by operation; empty if its last call succeeded.
+    std::map<std::string, std::string, std::less<>> m_storeFailures;
     std::map<std::string, std::int64_t, std::less<>> m_storeCalls; ///< By operation, since the start.
     bool m_storeCallsChanged = false;
     MonotonicTime m_nextStoreCallReport;
--- a/src/relay/relaymetrics.cpp
+++ b/src/relay/relaymetrics.cpp
@@ -52,6 +52,8 @@
                                   "Calls to the platform's store by operation", prometheus::BuildCounter())),
       m_storeErrors(registerFamily(m_registry, "geraniumsail_store_errors_total",
                                    "Failed calls to the platform's store", prometheus::BuildCounter())),
+      m_storeReads(registerFamily(m_registry, "geraniumsail_store_reads_total",
+                                  "Reads of the whole content of the platform's store", prometheus::BuildCounter())),
       m_taskFailures(registerFamily(m_registry, "geraniumsail_task_failures_total",
                                     "Exceptions that a task of the node did not handle", prometheus::BuildCounter())),
       m_invalidConfigurations(registerFamily(m_registry, "geraniumsail_invalid_configurations_total",
@@ -107,6 +109,11 @@
     m_storeErrors.Add({{"operation", std::string(operation)}, {"error", std::string(error)}}).Increment();
 }
 
+void RelayMetrics::countStoreRead(std::string_view operation, std::string_view verdict)
+{
+    m_storeReads.Add({{"operation", std::string(operation)}, {"verdict", std::string(verdict)}}).Increment();
+}
+
 void RelayMetrics::countTaskFailure(std::string_view task)
 {
     m_taskFailures.Add({{"task", std::string(task)}}).Increment();
--- a/src/relay/relaymetrics.h
+++ b/src/relay/relaymetrics.h
@@ -45,6 +45,7 @@
     void countUpstreamReport(std::string_view verdict);
     void countStoreCall(std::string_view operation);
     void countStoreError(std::string_view operation, std::string_view error);
+    void countStoreRead(std::string_view operation, std::string_view verdict);
     /// Counts an exception that a task of the node did not handle.
     void countTaskFailure(std::string_view task);
     void countInvalidConfiguration();
@@ -69,6 +70,7 @@
     prometheus::Family<prometheus::Counter> &m_reports;
     prometheus::Family<prometheus::Counter> &m_storeCalls;
     prometheus::Family<prometheus::Counter> &m_storeErrors;
+    prometheus::Family<prometheus::Counter> &m_storeReads;
     prometheus::Family<prometheus::Counter> &m_taskFailures;
     prometheus::Family<prometheus::Counter> &m_invalidConfigurations;
     prometheus::Family<prometheus::Gauge> &m_gauges;
--- a/src/relay/storefollower.h
+++ b/src/relay/storefollower.h
@@ -13,6 +13,7 @@
 #define GERANIUMSAIL_RELAY_STOREFOLLOWER_H
 
 #include "core/backoff.h"
+#include "core/storerevision.h"
 #include "net/clock.h"
 #include "net/httpwire.h"
 #include "relay/metadatastore.h"
@@ -86,7 +87,7 @@
             m_dirty = true;
             m_publishTimer.cancel();
         });
-        m_store.observeRestores([this] { onStoreRestored(); });
+        m_store.observeRestores([this](const StoreRestore &restore) { onStoreRestored(restore); });
         m_startedAt = monotonicNow();
         m_relay.supervisor().start("configuration", [this] { return followConfiguration(); });
         m_relay.supervisor().start("entries", [this] { return followEntries(); });
@@ -104,10 +105,15 @@
 
 private:
     /// The store may have lost the own entry and its lease.
-    void onStoreRestored()
+    void onStoreRestored(const StoreRestore &restore)
     {
-        m_relay.reporter().logImportant(
-            EventLine("store_restored").add("effect", "entry and leaves are written again"));
+        m_relay.reporter().logImportant(EventLine("store_restored")
+                                            .add("history_before", static_cast<std::int64_t>(restore.historyBefore))
+                                            .add("history", static_cast<std::int64_t>(restore.history))
+                                            .add("evidence", restore.evidence)
+                                            .add("configuration_position", positionText(m_configurationRevision))
+                                            .add("entries_position", positionText(entriesPosition()))
+                                            .add("effect", "entry and leaves are written again"));
         m_lease.reset();
         m_publishedEntry.reset();
         m_dirty = true;
@@ -120,9 +126,32 @@
         co_await timer.async_wait(AsTuple);
     }
 
-    void reportFailure(std::string_view operation, StoreError error)
+    void reportFailure(std::string_view operation, StoreError error, std::optional<std::uint64_t> position = {})
     {
-        m_relay.onStoreState(false, operation, storeErrorLabel(error));
+        m_relay.onStoreState(false, operation, storeErrorLabel(error), positionText(position));
+    }
+
+    static std::string positionText(std::optional<std::uint64_t> position)
+    {
+        return position ? storeRevisionText(*position) : "none";
+    }
+
+    std::optional<std::uint64_t> entriesPosition() const
+    {
+        const auto revision = m_relay.storeFeed().entries().revision();
+        return revision == 0 ? std::nullopt : std::optional(revision);
+    }
+
+    /// A whole read, unlike a watch, can contradict what this node knows.
+    void reportRead(std::string_view operation, std::uint64_t revision, std::optional<std::uint64_t> known,
+                    std::string_view verdict)
+    {
+        m_relay.onStoreRead(operation, verdict);
+        m_relay.reporter().logImportant(EventLine("store_read")
+                                            .add("operation", operation)
+                                            .add("revision", storeRevisionText(revision))
+                                            .add("known", positionText(known))
+                                            .add("verdict", verdict));
     }
 
     boost::asio::awaitable<void> followConfiguration()
@@ -153,9 +182,10 @@
                 co_await sleep(MinBackoff);
                 continue;
             }
+            const auto position = m_configurationRevision;
             const auto failure = co_await pollStore();
             if (failure) {
-                reportFailure("configuration", *failure);
+                reportFailure("configuration", *failure, position);
                 m_store.cancelEntriesWatch();
                 co_await sleep(
                     nextBackoff(backoff, m_relay.isStoreReader() ? MaxBackoff : MaxFollowerBackoff, m_random));
@@ -256,9 +286,15 @@
             }
             co_return change.error();
         }
+        const auto versionBefore = m_relay.configurationVersion();
         for (auto &document : change->documents) {
             applyConfiguration(document, isWatch ? "watch" : "read");
         }
+        if (!isWatch) {
+            reportRead("configuration", change->revision, m_lastConfigurationRevision,
+                       m_relay.configurationVersion() == versionBefore ? "nothing new" : "taken");
+        }
+        m_lastConfigurationRevision = change->revision;
         m_configurationRevision = change->revision;
         // The response of a read may have been on its way since the call; that of a watch was sent at its end.
         m_relay.storeFeed().recordProof(isWatch ? monotonicNow() : startedAt, change->revision);
@@ -298,7 +334,7 @@
                     // The watch was cancelled in favour of the other node.
                     continue;
                 }
-                reportFailure("entries", changes.error());
+                reportFailure("entries", changes.error(), isSnapshot ? std::nullopt : std::optional(known));
                 // Otherwise the next watch continues where this one ended.
                 m_rereadEntries = changes.error() == StoreError::Compacted || changes.error() == StoreError::Malformed;
                 co_await sleep(nextBackoff(backoff, MaxBackoff, m_random));
@@ -307,7 +343,11 @@
             m_rereadEntries = false;
             backoff = MinBackoff;
             reportInvalid(changes->invalid);
-            applyEntries(monotonicNow(), *changes);
+            const bool isTaken = applyEntries(monotonicNow(), *changes);
+            if (isSnapshot) {
+                reportRead("entries", changes->revision, known == 0 ? std::nullopt : std::optional(known),
+                           isTaken ? "taken" : "older than known");
+            }
             m_relay.onStoreState(true, "entries", "answered");
             if (!isSnapshot && (!changes->entries.empty() || !changes->removed.empty())) {
                 co_await sleep(monotonicNow() - m_startedAt < StartTime ? StartBatchDelay : EntriesBatchDelay);
@@ -315,15 +355,15 @@
         }
     }
 
-    void applyEntries(MonotonicTime asOf, const EntryChanges &changes)
+    /// Returns false if they are older than what is known.
+    bool applyEntries(MonotonicTime asOf, const EntryChanges &changes)
     {
         if (!m_relay.storeFeed().recordEntries(asOf, changes)) {
-            m_relay.reporter().logImportant(
-                EventLine("entries_ignored")
-                    .add("reason", "older than known")
-                    .add("revision", static_cast<std::int64_t>(changes.revision))
-                    .add("known", static_cast<std::int64_t>(m_relay.storeFeed().entries().revision())));
-            return;
+            m_relay.reporter().logImportant(EventLine("entries_ignored")
+                                                .add("reason", "older than known")
+                                                .add("revision", storeRevisionText(changes.revision))
+                                                .add("known", positionText(entriesPosition())));
+            return false;
         }
         m_relay.onEntryChanges(changes);
         if (isOwnEntryLost(changes)) {
@@ -331,6 +371,7 @@
             m_dirty = true;
             m_publishTimer.cancel();
         }
+        return true;
     }
 
     /// Whether the changes show that the store no longer holds the own entry as it was published.
@@ -471,6 +512,7 @@
     boost::asio::steady_timer m_sourceTimer; ///< Wakes followEntries() when the source changes.
     HttpClient m_peerClient; ///< Polls other nodes.
     std::optional<std::uint64_t> m_configurationRevision; ///< Store revision up to which the configuration is known.
+    std::optional<std::uint64_t> m_lastConfigurationRevision; ///< Of the last answer of the store, for the log.
     MonotonicTime m_startedAt;
     bool m_followsNode = false; ///< The source is another node and not the store.
     bool m_rereadEntries = false; ///< The changes since the known revision are not to be had.
