--- a/tests/soak/standins.py
+++ b/tests/soak/standins.py
@@ -1,6 +1,7 @@
 """Stand-ins of the platform's store and of upstreams for the soak, written from the users' protocol pages."""
 import asyncio
 import base64
+import copy
 import json
 import time
 import urllib.parse
@@ -21,6 +22,8 @@
         self.random = None
         self.changed = asyncio.Event()
         self.address = None
+        self.era = 1
+        self.states_era = True
 
     async def start(self, random):
         self.random = random
@@ -39,6 +42,16 @@
         self.revision += 1
         self.compacted = self.revision
 
+    def copy(self):
+        return copy.deepcopy((self.items, self.revision, self.leases, self.next_lease))
+
+    def restore(self, earlier):
+        """Goes back to what copy() returned. What was acknowledged since is gone, revisions are given out again."""
+        self.items, self.revision, self.leases, self.next_lease = copy.deepcopy(earlier)
+        self.history.clear()
+        self.compacted = self.revision
+        self.era += 1
+
     def _change(self, key, value, lease):
         self.revision += 1
         self.items[key] = {"key": key, "value": value, "revision": self.revision, "lease": lease}
@@ -63,7 +76,8 @@
                 is_write = message.start.startswith(("POST /kv-txn", "POST /kv-lease"))
                 if is_write and self.random.random() < self.lose_answers:
                     break
-                writer.write(encode(f"HTTP/1.1 {status} X", {}, json.dumps(body).encode()))
+                headers = {"Store-Era": self.era} if self.states_era else {}
+                writer.write(encode(f"HTTP/1.1 {status} X", headers, json.dumps(body).encode()))
                 await writer.drain()
         except (OSError, ValueError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -104,7 +118,7 @@
     async def _watch(self, prefix, after, seconds):
         end = time.monotonic() + seconds
         while True:
-            if after < self.compacted:
+            if after < self.compacted or after > self.revision:
                 return 410, {}
             events = [e for e in self.history if e["revision"] > after and e["key"].startswith(prefix)]
             left = end - time.monotonic()
