Continue a watch of the store only from an unbroken sequence of answers

What callers saw: after the store had come back from an older copy, requests were run by the old service, added routes answered 404 and dropped ones served, up to 5.6 s after the change; without a stated era, until the next change.

Cause: a node continued its watches from a revision after a time in which it had heard nothing. If the store has begun another history meanwhile, that revision stands for other changes, and those below it are never sent. If the store refuses the revision, the refusal counted as a failure: the node paused a second time, up to 1.6 s, before it read the content. A whole read was ignored if its revision was below the known one, counted as a success all the same, and reset the pause.

Change: core/storecursor decides where a reader continues and how long it waits. After a failure the content is read as a whole, which also brings the newest of many missed versions in one read. A refused watch is followed by a read at once, and by growing pauses if reads do not help. A whole read of the store replaces what is known of the entries. Nodes that each follow the store themselves no longer pause for 1.6 s. Nodes that fall back to the store in a large data centre keep their position if the store states its history, because all of them would read a large configuration at once.

--- a/src/core/entryhistory.cpp
+++ b/src/core/entryhistory.cpp
@@ -39,6 +39,17 @@
     return true;
 }
 
+void EntryHistory::replace(const EntryChanges &snapshot)
+{
+    m_entries.clear();
+    m_removals.clear();
+    for (const auto &[entry, revision] : snapshot.entries) {
+        m_entries.insert_or_assign(entry.node, std::pair(entry, revision));
+    }
+    m_revision = snapshot.revision;
+    m_removalsKnownSince = snapshot.revision;
+}
+
 void EntryHistory::remove(const NodeName &node, std::uint64_t revision)
 {
     const auto known = m_entries.find(node);
--- a/src/core/entryhistory.h
+++ b/src/core/entryhistory.h
@@ -37,6 +37,9 @@
     /// Records changes that continue from revision() or from an earlier revision. Returns false, and records nothing,
     /// if they are older than what is known.
     bool apply(const EntryChanges &changes);
+    /// Replaces everything by what the store itself holds, also if its revision is lower: the store may have come back
+    /// from an older copy. Changes that were known beyond that revision arrive again with the next ones.
+    void replace(const EntryChanges &snapshot);
     /// Revision up to which everything is known; 0 before the first snapshot.
     std::uint64_t revision() const
     {
--- a/src/core/upstreamdirectory.cpp
+++ b/src/core/upstreamdirectory.cpp
@@ -14,6 +14,11 @@
     if (revision != 0 && revision < known.revision) {
         return DirectoryChange::None;
     }
+    return replace(known, entry, revision);
+}
+
+DirectoryChange UpstreamDirectory::replace(KnownEntry &known, const DirectoryEntry &entry, std::uint64_t revision)
+{
     const bool returned = known.lapsedAt.has_value();
     const bool changed = !(known.entry == entry);
     if (known.entry.service != entry.service) {
@@ -30,11 +35,19 @@
 DirectoryChange UpstreamDirectory::lapse(const NodeName &node, std::uint64_t revision, MonotonicTime now)
 {
     const auto found = m_entries.find(node);
-    if (found == m_entries.end() || revision < found->second.revision || found->second.lapsedAt) {
+    if (found == m_entries.end() || revision < found->second.revision) {
+        return DirectoryChange::None;
+    }
+    return markMissing(found, revision, now);
+}
+
+DirectoryChange UpstreamDirectory::markMissing(Entries::iterator found, std::uint64_t revision, MonotonicTime now)
+{
+    if (found->second.lapsedAt) {
         return DirectoryChange::None;
     }
     if (found->second.entry.phase != UpstreamPhase::Ready) {
-        removeFromIndex(node, found->second.entry.service);
+        removeFromIndex(found->first, found->second.entry.service);
         m_entries.erase(found);
         return DirectoryChange::Removed;
     }
@@ -51,19 +64,17 @@
     std::set<NodeName> present;
     for (const auto &[entry, entryRevision] : entries) {
         present.insert(entry.node);
-        const auto change = put(entry, entryRevision);
+        const auto found = m_entries.find(entry.node);
+        const auto change =
+            found == m_entries.end() ? put(entry, entryRevision) : replace(found->second, entry, entryRevision);
         if (change != DirectoryChange::None) {
             changes.emplace_back(entry.node, change);
         }
     }
-    std::vector<NodeName> absent;
-    for (const auto &[node, known] : m_entries) {
-        if (!present.contains(node)) {
-            absent.push_back(node);
-        }
-    }
-    for (const auto &node : absent) {
-        const auto change = lapse(node, revision, now);
+    for (auto next = m_entries.begin(); next != m_entries.end();) {
+        const auto found = next++;
+        const auto node = found->first;
+        const auto change = present.contains(node) ? DirectoryChange::None : markMissing(found, revision, now);
         if (change != DirectoryChange::None) {
             changes.emplace_back(node, change);
         }
--- a/src/core/upstreamdirectory.h
+++ b/src/core/upstreamdirectory.h
@@ -69,7 +69,8 @@
     DirectoryChange put(const DirectoryEntry &entry, std::uint64_t revision);
     /// The store no longer holds the entry of this node: marks it as lapsed, or removes it if it is not ready.
     DirectoryChange lapse(const NodeName &node, std::uint64_t revision, MonotonicTime now);
-    /// Applies a full read of the store at this revision; missing entries lapse. Returns the nodes that changed.
+    /// Applies all entries that exist at this revision, whatever was known; missing ones lapse. Returns the nodes that
+    /// changed.
     std::vector<std::pair<NodeName, DirectoryChange>>
     replaceAll(const std::vector<std::pair<DirectoryEntry, std::uint64_t>> &entries, std::uint64_t revision,
                MonotonicTime now);
@@ -90,9 +91,14 @@
     }
 
 private:
+    using Entries = std::map<NodeName, KnownEntry>;
+
+    /// Applies an entry whatever the revision of the known one.
+    DirectoryChange replace(KnownEntry &known, const DirectoryEntry &entry, std::uint64_t revision);
+    DirectoryChange markMissing(Entries::iterator found, std::uint64_t revision, MonotonicTime now);
     void removeFromIndex(const NodeName &node, const ServiceName &service);
 
-    std::map<NodeName, KnownEntry> m_entries;
+    Entries m_entries;
     std::map<ServiceName, std::set<NodeName>> m_byService;
 };
 
--- a/src/relay/metadatastore.h
+++ b/src/relay/metadatastore.h
@@ -1,8 +1,8 @@
 // Interface of a relay node to the platform's metadata store, in terms of the product's own types.
 //
 // The adapter of a platform implements the concept and encapsulates keys, encodings and calls. Revisions never go back.
-// If the store itself has lost changes that it had acknowledged, the adapter makes up revisions that are higher, and
-// tells the observers of restores, which write again what this node had written.
+// If the store itself has lost changes that it had acknowledged, the adapter puts the revisions since into a later
+// history (core/storerevision.h), and tells the observers of restores, which write again what this node had written.
 #ifndef GERANIUMSAIL_RELAY_METADATASTORE_H
 #define GERANIUMSAIL_RELAY_METADATASTORE_H
 
@@ -108,6 +108,12 @@
     {
         store.onRevision(revision)
         } -> std::same_as<void>;
+    {
+        store.history()
+        } -> std::same_as<std::uint64_t>;
+    {
+        store.statesHistory()
+        } -> std::same_as<bool>;
     {
         store.grantLease(duration)
         } -> std::same_as<boost::asio::awaitable<StoreResult<LeaseId>>>;
--- a/src/relay/storefeed.cpp
+++ b/src/relay/storefeed.cpp
@@ -1,5 +1,6 @@
 #include "relay/storefeed.h"
 
+#include "core/storerevision.h"
 #include "core/text.h"
 #include "net/clock.h"
 #include "net/httpwire.h"
@@ -77,7 +78,9 @@
 {
     const bool hadRecentProof = hasRecentProof(asOf);
     m_proofTime = m_proofTime ? std::max(*m_proofTime, asOf) : asOf;
-    m_revision = std::max(m_revision, revision);
+    // Within a history the higher one is the later one, whoever reported it.
+    const bool isSameHistory = storeHistoryOf(revision) == storeHistoryOf(m_revision);
+    m_revision = isSameHistory ? std::max(m_revision, revision) : revision;
     if (!hadRecentProof) {
         wakeWaiters();
     }
@@ -93,11 +96,22 @@
     if (!m_entries.apply(changes)) {
         return false;
     }
+    onEntries(asOf, changes);
+    return true;
+}
+
+void StoreFeed::replaceEntries(MonotonicTime asOf, const EntryChanges &snapshot)
+{
+    m_entries.replace(snapshot);
+    onEntries(asOf, snapshot);
+}
+
+void StoreFeed::onEntries(MonotonicTime asOf, const EntryChanges &changes)
+{
     m_entriesTime = m_entriesTime ? std::max(*m_entriesTime, asOf) : asOf;
     if (!changes.entries.empty() || !changes.removed.empty()) {
         wakeWaiters();
     }
-    return true;
 }
 
 bool StoreFeed::hasRecentProof(MonotonicTime now) const
--- a/src/relay/storefeed.h
+++ b/src/relay/storefeed.h
@@ -53,6 +53,8 @@
     std::optional<Duration> proofAge(MonotonicTime now) const;
     /// Records entries that were current at the given time. Returns false if they are older than what is known.
     bool recordEntries(MonotonicTime asOf, const EntryChanges &changes);
+    /// Records all entries, as the store itself holds them.
+    void replaceEntries(MonotonicTime asOf, const EntryChanges &snapshot);
     const EntryHistory &entries() const
     {
         return m_entries;
@@ -67,6 +69,7 @@
     static boost::asio::awaitable<std::optional<FeedResponse>> readResponse(HttpResponse response);
 
 private:
+    void onEntries(MonotonicTime asOf, const EntryChanges &changes);
     bool hasRecentProof(MonotonicTime now) const;
     void wakeWaiters();
 
--- a/src/relay/storefollower.h
+++ b/src/relay/storefollower.h
@@ -13,6 +13,7 @@
 #define GERANIUMSAIL_RELAY_STOREFOLLOWER_H
 
 #include "core/backoff.h"
+#include "core/storecursor.h"
 #include "core/storerevision.h"
 #include "net/clock.h"
 #include "net/httpwire.h"
@@ -69,11 +70,13 @@
     static constexpr Duration LeaseRenewInterval = std::chrono::seconds(15);
     /// Pause after a failed renewal while the lease is still valid.
     static constexpr Duration RenewRetryInterval = std::chrono::seconds(3);
-    /// Bounds of the backoff after a failed call. Entries must be back within two seconds of the store's return.
-    static constexpr Duration MinBackoff = std::chrono::milliseconds(100);
-    static constexpr Duration MaxBackoff = std::chrono::milliseconds(800);
-    /// Upper bound of the backoff of a node that asks the store only because it found no other source.
-    static constexpr Duration MaxFollowerBackoff = std::chrono::milliseconds(1600);
+    /// Bounds of the pause after a failed publication.
+    static constexpr Duration MinBackoff = StoreCursor::MinPause;
+    static constexpr Duration MaxBackoff = StoreCursor::MaxPause;
+    /// Upper bound of the pause of a node that asks the store only because it found no other source.
+    static constexpr Duration MaxFallbackPause = std::chrono::milliseconds(1600);
+    /// Interval between looks at the conditions for the next call.
+    static constexpr Duration PollInterval = std::chrono::milliseconds(100);
 
     StoreFollower(boost::asio::io_context &context, Store &store, Relay &relay)
         : m_context(context), m_store(store), m_relay(relay), m_random(std::random_device{}()), m_publishTimer(context),
@@ -111,13 +114,17 @@
                                             .add("history_before", static_cast<std::int64_t>(restore.historyBefore))
                                             .add("history", static_cast<std::int64_t>(restore.history))
                                             .add("evidence", restore.evidence)
-                                            .add("configuration_position", positionText(m_configurationRevision))
-                                            .add("entries_position", positionText(entriesPosition()))
-                                            .add("effect", "entry and leaves are written again"));
+                                            .add("configuration_position", positionText(m_configuration.position()))
+                                            .add("entries_position", positionText(m_entries.position()))
+                                            .add("effect", "everything is read, entry and leaves are written again"));
         m_lease.reset();
         m_publishedEntry.reset();
         m_dirty = true;
         m_publishTimer.cancel();
+        m_configuration.forget();
+        m_entries.forget();
+        // A watch that waits in the earlier history would end late.
+        m_store.cancelEntriesWatch();
     }
 
     boost::asio::awaitable<void> sleep(Duration duration)
@@ -136,12 +143,33 @@
         return position ? storeRevisionText(*position) : "none";
     }
 
-    std::optional<std::uint64_t> entriesPosition() const
+    std::optional<std::uint64_t> knownEntriesRevision() const
     {
         const auto revision = m_relay.storeFeed().entries().revision();
         return revision == 0 ? std::nullopt : std::optional(revision);
     }
 
+    /// Whether this node asks the store only because it found no other source.
+    bool isFallback() const
+    {
+        return m_relay.sharesStore() && !m_relay.isStoreReader();
+    }
+
+    Duration pauseAfter(StoreCursor &cursor, StoreError error)
+    {
+        const bool fallsBack = isFallback();
+        const auto maxPause = fallsBack ? MaxFallbackPause : StoreCursor::MaxPause;
+        if (error == StoreError::Compacted) {
+            return cursor.onHistoryGone(maxPause, m_random);
+        }
+        // When the store has been away, all nodes of a data centre fall back at once. A large configuration, read by
+        // each of them, would saturate the link between two regions.
+        if (fallsBack && m_store.statesHistory() && error != StoreError::Malformed) {
+            return cursor.onFailureInStatedHistory(maxPause, m_random);
+        }
+        return cursor.onFailure(maxPause, m_random);
+    }
+
     /// A whole read, unlike a watch, can contradict what this node knows.
     void reportRead(std::string_view operation, std::uint64_t revision, std::optional<std::uint64_t> known,
                     std::string_view verdict)
@@ -156,10 +184,9 @@
 
     boost::asio::awaitable<void> followConfiguration()
     {
-        while (!m_relay.storeFeed().entries().revision() && monotonicNow() - m_startedAt < InitialEntriesTimeout) {
-            co_await sleep(MinBackoff / 2);
+        while (!knownEntriesRevision() && monotonicNow() - m_startedAt < InitialEntriesTimeout) {
+            co_await sleep(PollInterval / 2);
         }
-        Duration backoff = MinBackoff;
         int failedSources = 0;
         while (true) {
             const auto source = m_relay.storeSource();
@@ -178,19 +205,19 @@
             failedSources = 0;
             setFollowsNode(false);
             // The first watch of the entries, which ends at once if there are more of them, shows what node to follow.
-            if (m_configurationRevision && isSettling(MinBackoff * 2)) {
-                co_await sleep(MinBackoff);
+            if (m_configuration.position() && isSettling(PollInterval * 2)) {
+                co_await sleep(PollInterval);
                 continue;
             }
-            const auto position = m_configurationRevision;
+            const auto position = m_configuration.position();
             const auto failure = co_await pollStore();
             if (failure) {
                 reportFailure("configuration", *failure, position);
-                m_store.cancelEntriesWatch();
-                co_await sleep(
-                    nextBackoff(backoff, m_relay.isStoreReader() ? MaxBackoff : MaxFollowerBackoff, m_random));
+                if (*failure != StoreError::Compacted) {
+                    m_store.cancelEntriesWatch();
+                }
+                co_await sleep(pauseAfter(m_configuration, *failure));
             } else {
-                backoff = MinBackoff;
                 m_relay.onStoreState(true, "configuration", "answered");
             }
         }
@@ -210,6 +237,10 @@
         m_followsNode = follows;
         if (follows) {
             m_store.cancelEntriesWatch();
+        } else if (!m_store.statesHistory()) {
+            // What the other node knew last may be of an earlier history.
+            m_configuration.forget();
+            m_entries.forget();
         }
         m_sourceTimer.cancel();
     }
@@ -256,7 +287,10 @@
         EntryChanges unchanged;
         unchanged.revision = feed.entries().revision();
         feed.recordEntries(now - entriesAge, unchanged);
-        m_configurationRevision = std::max(m_configurationRevision.value_or(0), feedResponse->revision);
+        m_configuration.onChanges(std::max(m_configuration.position().value_or(0), feedResponse->revision));
+        if (unchanged.revision != 0) {
+            m_entries.onChanges(unchanged.revision);
+        }
         if (!hasNews && now - startedAt < PeerPollDelay) {
             co_await sleep(PeerPollDelay);
         }
@@ -266,7 +300,8 @@
     /// Reads the configuration from the store, or waits for its next change, once.
     boost::asio::awaitable<std::optional<StoreError>> pollStore()
     {
-        const bool isWatch = m_configurationRevision.has_value();
+        const auto position = m_configuration.position();
+        const bool isWatch = position.has_value();
         const auto startedAt = monotonicNow();
         auto wait = ConfigurationWatchTimeout;
         if (m_relay.isStoreReader()) {
@@ -275,27 +310,25 @@
         }
         StoreResult<ConfigurationChange> change = StoreError::Unreachable;
         if (isWatch) {
-            change = co_await m_store.watchConfiguration(*m_configurationRevision, wait);
+            change = co_await m_store.watchConfiguration(*position, wait);
         } else {
             change = co_await m_store.readConfiguration();
         }
         if (!change) {
-            // An interrupted watch resumes from the same revision without reading the configuration again.
-            if (change.error() == StoreError::Compacted || change.error() == StoreError::Malformed) {
-                m_configurationRevision.reset();
-            }
             co_return change.error();
         }
         const auto versionBefore = m_relay.configurationVersion();
         for (auto &document : change->documents) {
             applyConfiguration(document, isWatch ? "watch" : "read");
         }
-        if (!isWatch) {
+        if (isWatch) {
+            m_configuration.onChanges(change->revision);
+        } else {
             reportRead("configuration", change->revision, m_lastConfigurationRevision,
                        m_relay.configurationVersion() == versionBefore ? "nothing new" : "taken");
+            m_configuration.onRead(change->revision);
         }
         m_lastConfigurationRevision = change->revision;
-        m_configurationRevision = change->revision;
         // The response of a read may have been on its way since the call; that of a watch was sent at its end.
         m_relay.storeFeed().recordProof(isWatch ? monotonicNow() : startedAt, change->revision);
         co_return std::nullopt;
@@ -312,66 +345,75 @@
 
     boost::asio::awaitable<void> followEntries()
     {
-        Duration backoff = MinBackoff;
         while (true) {
-            const auto known = m_relay.storeFeed().entries().revision();
-            if (known != 0 && (m_followsNode || (isSettling() && !m_rereadEntries))) {
+            const auto position = m_entries.position();
+            if (m_followsNode || (position && isSettling())) {
                 // Woken when the source changes.
-                m_sourceTimer.expires_after(m_followsNode ? EntriesWatchTimeout : MinBackoff);
+                m_sourceTimer.expires_after(m_followsNode ? EntriesWatchTimeout : PollInterval);
                 co_await m_sourceTimer.async_wait(AsTuple);
                 continue;
             }
-            const bool isSnapshot = known == 0 || m_rereadEntries;
             const auto wait = m_relay.isStoreReader() ? ReaderEntriesWatchTimeout : EntriesWatchTimeout;
             StoreResult<EntryChanges> changes = StoreError::Unreachable;
-            if (isSnapshot) {
-                changes = co_await m_store.readEntries();
+            if (position) {
+                changes = co_await m_store.watchEntries(*position, wait);
             } else {
-                changes = co_await m_store.watchEntries(known, wait);
+                changes = co_await m_store.readEntries();
             }
             if (!changes) {
-                if (m_followsNode && known != 0) {
+                if (m_followsNode) {
                     // The watch was cancelled in favour of the other node.
                     continue;
                 }
-                reportFailure("entries", changes.error(), isSnapshot ? std::nullopt : std::optional(known));
-                // Otherwise the next watch continues where this one ended.
-                m_rereadEntries = changes.error() == StoreError::Compacted || changes.error() == StoreError::Malformed;
-                co_await sleep(nextBackoff(backoff, MaxBackoff, m_random));
+                reportFailure("entries", changes.error(), position);
+                co_await sleep(pauseAfter(m_entries, changes.error()));
                 continue;
             }
-            m_rereadEntries = false;
-            backoff = MinBackoff;
             reportInvalid(changes->invalid);
-            const bool isTaken = applyEntries(monotonicNow(), *changes);
-            if (isSnapshot) {
-                reportRead("entries", changes->revision, known == 0 ? std::nullopt : std::optional(known),
-                           isTaken ? "taken" : "older than known");
+            if (position) {
+                applyEntries(monotonicNow(), *changes);
+                m_entries.onChanges(changes->revision);
+            } else {
+                replaceEntries(*changes);
+                m_entries.onRead(changes->revision);
             }
             m_relay.onStoreState(true, "entries", "answered");
-            if (!isSnapshot && (!changes->entries.empty() || !changes->removed.empty())) {
+            if (position && (!changes->entries.empty() || !changes->removed.empty())) {
                 co_await sleep(monotonicNow() - m_startedAt < StartTime ? StartBatchDelay : EntriesBatchDelay);
             }
         }
     }
 
-    /// Returns false if they are older than what is known.
-    bool applyEntries(MonotonicTime asOf, const EntryChanges &changes)
+    /// Applies a whole read of the store. It counts also if it is older than what was known: then the store has come
+    /// back from an older copy, or what was known is wrong.
+    void replaceEntries(const EntryChanges &snapshot)
+    {
+        const auto known = knownEntriesRevision();
+        reportRead("entries", snapshot.revision, known, "taken");
+        m_relay.storeFeed().replaceEntries(monotonicNow(), snapshot);
+        onEntriesApplied(snapshot);
+    }
+
+    void applyEntries(MonotonicTime asOf, const EntryChanges &changes)
     {
         if (!m_relay.storeFeed().recordEntries(asOf, changes)) {
             m_relay.reporter().logImportant(EventLine("entries_ignored")
                                                 .add("reason", "older than known")
                                                 .add("revision", storeRevisionText(changes.revision))
-                                                .add("known", positionText(entriesPosition())));
-            return false;
+                                                .add("known", positionText(knownEntriesRevision())));
+            return;
         }
+        onEntriesApplied(changes);
+    }
+
+    void onEntriesApplied(const EntryChanges &changes)
+    {
         m_relay.onEntryChanges(changes);
         if (isOwnEntryLost(changes)) {
             m_publishedEntry.reset();
             m_dirty = true;
             m_publishTimer.cancel();
         }
-        return true;
     }
 
     /// Whether the changes show that the store no longer holds the own entry as it was published.
@@ -381,6 +423,14 @@
             return false;
         }
         const auto &own = m_relay.settings().node;
+        if (changes.isSnapshot) {
+            // The read may have been answered before the entry was written.
+            const bool isEarlier = changes.revision < m_entryRevision
+                && storeHistoryOf(changes.revision) == storeHistoryOf(m_entryRevision);
+            return !isEarlier && std::none_of(changes.entries.begin(), changes.entries.end(), [&](const auto &entry) {
+                return entry.first.node == own && equalExceptColdRemaining(entry.first, *m_publishedEntry);
+            });
+        }
         std::uint64_t latest = 0;
         bool isLost = false;
         for (const auto &[entry, revision] : changes.entries) {
@@ -395,10 +445,7 @@
                 isLost = true;
             }
         }
-        if (latest > 0) {
-            return isLost && latest > m_entryRevision;
-        }
-        return changes.isSnapshot && changes.revision >= m_entryRevision;
+        return isLost && latest > m_entryRevision;
     }
 
     void reportInvalid(const std::vector<std::string> &problems)
@@ -511,11 +558,11 @@
     boost::asio::steady_timer m_publishTimer;
     boost::asio::steady_timer m_sourceTimer; ///< Wakes followEntries() when the source changes.
     HttpClient m_peerClient; ///< Polls other nodes.
-    std::optional<std::uint64_t> m_configurationRevision; ///< Store revision up to which the configuration is known.
+    StoreCursor m_configuration;
+    StoreCursor m_entries;
     std::optional<std::uint64_t> m_lastConfigurationRevision; ///< Of the last answer of the store, for the log.
     MonotonicTime m_startedAt;
     bool m_followsNode = false; ///< The source is another node and not the store.
-    bool m_rereadEntries = false; ///< The changes since the known revision are not to be had.
     bool m_dirty = false;
     bool m_unpublished = false;
     std::optional<LeaseId> m_lease;
--- a/tests/core/directorytest.cpp
+++ b/tests/core/directorytest.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(drainingEntryIsNotACandidate);
     CPPUNIT_TEST(olderRevisionsAreIgnored);
     CPPUNIT_TEST(fullReadLapsesMissingEntries);
+    CPPUNIT_TEST(fullReadReplacesLaterRevisions);
     CPPUNIT_TEST(prefersOwnDataCentreUntilItIsFull);
     CPPUNIT_TEST(largeBodiesStayInTheDataCentreLonger);
     CPPUNIT_TEST(unreachableNodeIsAvoidedUntilItsEntryChanges);
@@ -103,6 +104,20 @@
         CPPUNIT_ASSERT(m_directory.find(NodeName("n3")) != nullptr);
     }
 
+    // Guards against entries that are ignored because the store came back from an older copy with lower revisions.
+    void fullReadReplacesLaterRevisions()
+    {
+        m_directory.put(entry("n1"), 20);
+        m_directory.put(entry("n2"), 21);
+        auto changed = entry("n2");
+        changed.upstream = UpstreamId("later");
+        m_directory.replaceAll({{changed, 5}}, 9, m_now);
+        CPPUNIT_ASSERT(m_directory.find(NodeName("n1"))->lapsedAt.has_value());
+        CPPUNIT_ASSERT(m_directory.find(NodeName("n2"))->entry.upstream == UpstreamId("later"));
+        CPPUNIT_ASSERT(m_directory.put(entry("n1"), 10) == DirectoryChange::Added);
+        CPPUNIT_ASSERT(m_directory.put(entry("n2"), 11) == DirectoryChange::Updated);
+    }
+
     // One data centre gets more requests than its upstream can run. Guards against needless traffic between data
     // centres, and against waiting in the own data centre while another one is idle.
     void prefersOwnDataCentreUntilItIsFull()
--- a/tests/core/entryhistorytest.cpp
+++ b/tests/core/entryhistorytest.cpp
@@ -3,6 +3,7 @@
 #include "core/entryhistory.h"
 
 #include "core/random.h"
+#include "core/storerevision.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -79,6 +80,28 @@
         return view;
     }
 
+    /// This model, as an older copy, becomes the beginning of another history.
+    void beginHistory(std::uint64_t history)
+    {
+        const auto renumber = [history](std::uint64_t &revision) {
+            revision = makeStoreRevision(history, storeNumberOf(revision));
+        };
+        renumber(m_revision);
+        for (auto &[node, item] : m_present) {
+            renumber(item.second);
+        }
+        for (auto &change : m_log) {
+            renumber(change.revision);
+            if (change.item) {
+                renumber(change.item->second);
+            }
+        }
+    }
+    std::uint64_t history() const
+    {
+        return storeHistoryOf(m_revision);
+    }
+
 private:
     using Item = std::pair<DirectoryEntry, std::uint64_t>;
     struct Change
@@ -106,6 +129,7 @@
 {
     CPPUNIT_TEST_SUITE(EntryHistoryTest);
     CPPUNIT_TEST(everyNodeEndsWithTheContentOfTheStore);
+    CPPUNIT_TEST(everyNodeEndsWithTheContentOfTheLastHistory);
     CPPUNIT_TEST(olderViewIsRejected);
     CPPUNIT_TEST(nodeFarBehindGetsASnapshot);
     CPPUNIT_TEST_SUITE_END();
@@ -142,6 +166,53 @@
         }
     }
 
+    // Guards against an entry that a node keeps or misses because the store has come back from an older copy. A node
+    // that follows another one does not know when that has happened.
+    void everyNodeEndsWithTheContentOfTheLastHistory()
+    {
+        Random random(20261207);
+        const auto draw = [&random](int limit) {
+            return std::uniform_int_distribution<int>(0, limit - 1)(random);
+        };
+        const auto readStore = [](EntryHistory &node, const StoreModel &store) {
+            if (node.revision() == 0 || storeHistoryOf(node.revision()) != store.history()) {
+                node.replace(store.snapshot());
+            } else {
+                node.apply(store.since(node.revision()));
+            }
+        };
+        for (int run = 0; run < 200; ++run) {
+            StoreModel store;
+            StoreModel copy;
+            std::vector<EntryHistory> nodes(6);
+            for (int step = 0; step < 300; ++step) {
+                const int action = draw(12);
+                auto &node = nodes[static_cast<std::size_t>(draw(6))];
+                if (action < 3) {
+                    store.put(draw(12));
+                } else if (action < 5) {
+                    store.remove(draw(12));
+                } else if (action == 5 && draw(4) == 0) {
+                    copy = store;
+                } else if (action == 6 && draw(8) == 0) {
+                    const auto history = store.history() + 1;
+                    store = copy;
+                    store.beginHistory(history);
+                } else if (action < 9) {
+                    readStore(node, store);
+                } else {
+                    node.apply(nodes[static_cast<std::size_t>(draw(6))].since(node.revision()));
+                }
+            }
+            readStore(nodes[0], store);
+            for (auto &node : nodes) {
+                node.apply(nodes[0].since(node.revision()));
+                CPPUNIT_ASSERT(node.revision() == nodes[0].revision());
+                CPPUNIT_ASSERT(viewOf(node) == store.at(node.revision()));
+            }
+        }
+    }
+
     void olderViewIsRejected()
     {
         StoreModel store;
--- a/tests/platform/fakestore.cpp
+++ b/tests/platform/fakestore.cpp
@@ -120,13 +120,15 @@
     m_nextLease = copy.nextLease;
     m_history.clear();
     m_compactedAt = m_revision;
-    ++m_era;
+    ++era;
 }
 
 asio::awaitable<HttpResponse> FakeStore::answer(HttpRequest request)
 {
     auto response = co_await handle(std::move(request));
-    response.message.set("Store-Era", std::to_string(m_era));
+    if (statesEra) {
+        response.message.set("Store-Era", std::to_string(era));
+    }
     co_return response;
 }
 
@@ -215,7 +217,7 @@
     auto events = Json::array();
     bool waiting = true;
     while (waiting) {
-        if (after < m_compactedAt || after > m_revision) {
+        if (refusesWatches || after < m_compactedAt || after > m_revision) {
             co_return json(410, Json::object());
         }
         expireLeases();
--- a/tests/platform/fakestore.h
+++ b/tests/platform/fakestore.h
@@ -43,6 +43,9 @@
     void restore(const Copy &copy);
 
     bool unavailable = false; ///< Every request gets 503.
+    bool refusesWatches = false; ///< Every watch gets 410.
+    bool statesEra = true; ///< Answers have the header "Store-Era".
+    std::uint64_t era = 1; ///< As stated; restore() raises it.
     std::size_t pageSize = 500; ///< Items in one range response.
     int lostWriteResponses = 0; ///< Number of next writes that take effect but get no response in time.
     std::map<std::string, int> calls; ///< By path.
@@ -76,7 +79,6 @@
     std::uint64_t m_revision = 1;
     std::uint64_t m_compactedAt = 0;
     std::uint64_t m_nextLease = 100;
-    std::uint64_t m_era = 1;
 };
 
 struct FakeStore::Copy
