--- a/tests/platform/leavetest.cpp
+++ b/tests/platform/leavetest.cpp
@@ -2,6 +2,8 @@
 #include "fleet.h"
 #include "storegate.h"
 
+#include "core/storerevision.h"
+
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace Geraniumsail {
@@ -32,6 +34,7 @@
     CPPUNIT_TEST(leaveIsAcknowledgedAsSoonAsTheStoreIsBack);
     CPPUNIT_TEST(leaveThatNothingRecordsIsNotAcknowledged);
     CPPUNIT_TEST(recordedLeaveOutlastsARestoreOfTheStore);
+    CPPUNIT_TEST(leaveWrittenDuringARestoreIsWrittenAgain);
     CPPUNIT_TEST(anyNumberOfLeavesIsRecorded);
     CPPUNIT_TEST_SUITE_END();
 
@@ -209,6 +212,22 @@
         checkThatItStaysLeftAfterRestart();
     }
 
+    // Guards against a leave that counts as recorded because its write was acknowledged just before the store lost it,
+    // after another node had told of the store's new history.
+    void leaveWrittenDuringARestoreIsWrittenAgain()
+    {
+        m_books->announce(UpstreamPhase::Ready, 1);
+        m_loop->runUntil([this] { return statusOfPost() == 200; });
+        const auto copy = m_store->copy();
+        m_gate->holdsAnswers = true;
+        m_books->relay.onUpstreamDeregistration(UpstreamId("i-books-1"), 1);
+        m_loop->runUntil([this] { return m_store->has(RecordKey); });
+        m_store->restore(*copy);
+        m_books->store.onRevision(makeStoreRevision(2, 1));
+        m_gate->holdsAnswers = false;
+        m_loop->runUntil([this] { return m_store->has(RecordKey); });
+    }
+
     // Guards against endless writes once there are more leaves than a record holds.
     void anyNumberOfLeavesIsRecorded()
     {
--- a/tests/platform/storegate.h
+++ b/tests/platform/storegate.h
@@ -26,6 +26,7 @@
 private:
     /// Longer than the timeout of any caller.
     static constexpr auto LostAnswerDelay = std::chrono::seconds(10);
+    static constexpr auto HoldInterval = std::chrono::milliseconds(5);
 
     boost::asio::awaitable<HttpResponse> forward(HttpRequest request)
     {
@@ -39,6 +40,10 @@
             boost::asio::steady_timer timer(m_context, LostAnswerDelay);
             co_await timer.async_wait(AsTuple);
         }
+        while (holdsAnswers) {
+            boost::asio::steady_timer timer(m_context, HoldInterval);
+            co_await timer.async_wait(AsTuple);
+        }
         if (refuses || !response) {
             co_return makeResponse(503, "application/json", "{}");
         }
@@ -53,6 +58,7 @@
 public:
     Address address;
     bool refuses = false; ///< Every request gets 503.
+    bool holdsAnswers = false; ///< Answers that are due meanwhile arrive later.
     bool losesAnswers = false; ///< Answers that are due meanwhile never arrive; their connections stay open.
 };
 
--- a/tests/platform/storehistorytest.cpp
+++ b/tests/platform/storehistorytest.cpp
@@ -2,6 +2,7 @@
 // an older copy, with or without stating its era.
 #include "fleet.h"
 
+#include "core/storerevision.h"
 #include "relay/entrycodec.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -50,6 +51,8 @@
     CPPUNIT_TEST(versionOfAnotherHistoryIsNotMissed);
     CPPUNIT_TEST(entriesOfAnotherHistoryAreFollowed);
     CPPUNIT_TEST(missedVersionsAreNotReadOneByOne);
+    CPPUNIT_TEST(wrongEraIsCorrected);
+    CPPUNIT_TEST(wrongHistoryOfAnotherNodeIsIgnored);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -168,6 +171,41 @@
         CPPUNIT_ASSERT(monotonicNow() - returnedAt < ConfigurationLimit);
     }
 
+    // Guards against a node that takes all later answers for old ones because a single one had a wrong era.
+    void wrongEraIsCorrected()
+    {
+        startNode();
+        m_store->era = 900;
+        m_store->put(ConfigurationKey, configuration(8));
+        m_loop->runUntil([this] { return version() == 8 || m_node->store.history() == 900; });
+        m_store->era = 1;
+        m_store->put(ConfigurationKey, configuration(9));
+        m_store->put("geraniumsail/nodes/new", encodeEntry(entryOf("new")));
+        const auto writtenAt = monotonicNow();
+        m_loop->runUntil([&] {
+            const bool isCurrent = version() == 9 && m_node->relay.findEntry(NodeName("new")) != nullptr;
+            return isCurrent || monotonicNow() - writtenAt > 2 * ConfigurationLimit;
+        });
+        CPPUNIT_ASSERT(monotonicNow() - writtenAt < ConfigurationLimit);
+    }
+
+    // Guards against a node that takes the store's answers for old ones because another node reported a wrong history,
+    // and against one that writes everything again at each such report.
+    void wrongHistoryOfAnotherNodeIsIgnored()
+    {
+        startNode();
+        const auto wrong = makeStoreRevision(900, 1);
+        m_node->store.onRevision(wrong);
+        m_store->put(ConfigurationKey, configuration(8));
+        m_loop->runUntil([this] { return version() == 8; });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), m_node->store.history());
+        runFor(seconds(1));
+        const auto writes = m_store->calls["/kv-txn"];
+        m_node->store.onRevision(wrong);
+        runFor(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(writes, m_store->calls["/kv-txn"]);
+    }
+
 private:
     void startNode(const std::string &name = "books-1")
     {
