Do not share the store between nodes that tell its histories apart and nodes that do not

Change: a proof of an earlier history than the known one is not recorded, and a node that gives none other for as long as a proof may be old is not followed. A node whose position has no history is refused, and asks another node or the store.

Evidence: on the code before, StoreHistoryTest::nodeThatKnowsNoHistoriesIsNotFollowed (no configuration within 20 s) and nodeThatKnowsNoHistoriesIsNotServed fail; both pass now.

--- a/src/relay/storefeed.cpp
+++ b/src/relay/storefeed.cpp
@@ -140,6 +140,10 @@
     if (!after || !entriesAfter || !wait) {
         co_return errorResponse(ErrorKind::BadRequest);
     }
+    const bool knowsHistories = *entriesAfter == 0 || storeHistoryOf(*entriesAfter) > 0;
+    if (!knowsHistories && storeHistoryOf(m_entries.revision()) > 0) {
+        co_return errorResponse(ErrorKind::BadRequest);
+    }
     const auto startedAt = monotonicNow();
     const auto maxWait = std::min<Duration>(std::chrono::milliseconds(std::min(*wait, MaxWaitMs)), MaxWait);
     auto end = startedAt + maxWait;
--- a/src/relay/storefeed.h
+++ b/src/relay/storefeed.h
@@ -5,6 +5,9 @@
 // already knows. The response is sent as soon as this node knows more, when its proof that there is nothing newer
 // becomes too old, or when the wait ends. It states the age of that proof. Its body carries either a newer
 // configuration, as stored, or changes of entries.
+//
+// Nodes of a version that knows no histories of the store (core/storerevision.h) are refused once this node knows one:
+// such a node would take the numbers here for those of the store, and would then follow neither.
 #ifndef GERANIUMSAIL_RELAY_STOREFEED_H
 #define GERANIUMSAIL_RELAY_STOREFEED_H
 
--- a/src/relay/storefollower.h
+++ b/src/relay/storefollower.h
@@ -282,8 +282,13 @@
         if (entriesAge >= MaxEntriesAge) {
             co_return "no recent entries";
         }
+        if (!hasCurrentHistory(*feedResponse, now)) {
+            co_return "earlier history";
+        }
         m_store.onRevision(feedResponse->revision);
-        feed.recordProof(now - *feedResponse->proofAge, feedResponse->revision);
+        if (!m_sourceIsBehindSince) {
+            feed.recordProof(now - *feedResponse->proofAge, feedResponse->revision);
+        }
         EntryChanges unchanged;
         unchanged.revision = feed.entries().revision();
         feed.recordEntries(now - entriesAge, unchanged);
@@ -321,6 +326,7 @@
         for (auto &document : change->documents) {
             applyConfiguration(document, isWatch ? "watch" : "read");
         }
+        m_sourceIsBehindSince.reset();
         if (isWatch) {
             m_configuration.onChanges(change->revision);
         } else {
@@ -416,6 +422,20 @@
         }
     }
 
+    /// Whether the proof of another node may be used. After a restore, the node may have read the entries of the new
+    /// history and not the configuration yet, as long as its proof is recent. A node that stays behind knows no
+    /// histories, or has a wrong one.
+    bool hasCurrentHistory(const FeedResponse &response, MonotonicTime now)
+    {
+        const auto known = std::max(storeHistoryOf(m_relay.storeFeed().entries().revision()), m_store.history());
+        if (storeHistoryOf(response.revision) >= known) {
+            m_sourceIsBehindSince.reset();
+            return true;
+        }
+        m_sourceIsBehindSince = m_sourceIsBehindSince.value_or(now);
+        return now - *m_sourceIsBehindSince < StoreReaders::MaxProofAge;
+    }
+
     /// Whether the changes show that the store no longer holds the own entry as it was published.
     bool isOwnEntryLost(const EntryChanges &changes) const
     {
@@ -563,6 +583,8 @@
     std::optional<std::uint64_t> m_lastConfigurationRevision; ///< Of the last answer of the store, for the log.
     MonotonicTime m_startedAt;
     bool m_followsNode = false; ///< The source is another node and not the store.
+    /// Since when the proofs of the followed node are of an earlier history than what this node knows.
+    std::optional<MonotonicTime> m_sourceIsBehindSince;
     bool m_dirty = false;
     bool m_unpublished = false;
     std::optional<LeaseId> m_lease;
--- a/tests/platform/storehistorytest.cpp
+++ b/tests/platform/storehistorytest.cpp
@@ -53,6 +53,8 @@
     CPPUNIT_TEST(missedVersionsAreNotReadOneByOne);
     CPPUNIT_TEST(wrongEraIsCorrected);
     CPPUNIT_TEST(wrongHistoryOfAnotherNodeIsIgnored);
+    CPPUNIT_TEST(nodeThatKnowsNoHistoriesIsNotFollowed);
+    CPPUNIT_TEST(nodeThatKnowsNoHistoriesIsNotServed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -206,6 +208,39 @@
         CPPUNIT_ASSERT_EQUAL(writes, m_store->calls["/kv-txn"]);
     }
 
+    // Guards against a node that trusts the proof of one of an earlier version, which cannot tell histories apart and
+    // may itself have missed a version.
+    void nodeThatKnowsNoHistoriesIsNotFollowed()
+    {
+        HttpServer oldNode(m_loop->context.get_executor(), ServerLimits{},
+                           [](HttpRequest, RequestScope &) { return respondAsOldNode(); });
+        const auto address = oldNode.listen(Address("127.0.0.1:0"));
+        std::vector<NodeName> members;
+        for (std::size_t i = 0; i <= StoreReaders::MinMembersToShare; ++i) {
+            auto entry = entryOf("old-" + std::to_string(i));
+            entry.peer = address;
+            members.push_back(entry.node);
+            m_store->put("geraniumsail/nodes/" + entry.node.value(), encodeEntry(entry));
+        }
+        startNode(followerOf(members));
+        m_loop->runUntil([this] { return m_node->relay.storeSource().has_value(); });
+        runFor(seconds(2));
+        m_store->put(ConfigurationKey, configuration(8));
+        const auto writtenAt = monotonicNow();
+        m_loop->runUntil([&] { return version() == 8 || monotonicNow() - writtenAt > 2 * ConfigurationLimit; });
+        CPPUNIT_ASSERT(monotonicNow() - writtenAt < ConfigurationLimit);
+    }
+
+    // Guards against a node of an earlier version that takes the revisions of this one for those of the store, and that
+    // can continue from them nowhere else.
+    void nodeThatKnowsNoHistoriesIsNotServed()
+    {
+        startNode();
+        CPPUNIT_ASSERT_EQUAL(400U, statusOfFeed(5));
+        CPPUNIT_ASSERT_EQUAL(200U, statusOfFeed(0));
+        CPPUNIT_ASSERT_EQUAL(200U, statusOfFeed(makeStoreRevision(1, 5)));
+    }
+
 private:
     void startNode(const std::string &name = "books-1")
     {
@@ -215,6 +250,23 @@
         // It watches the store only some time after its start.
         runFor(milliseconds(2500));
     }
+    /// A name under which a node follows one of these.
+    static std::string followerOf(const std::vector<NodeName> &members)
+    {
+        std::string name = "new";
+        while (!StoreReaders(NodeName(name)).choose(members, monotonicNow())) {
+            name += 'x';
+        }
+        return name;
+    }
+    static asio::awaitable<HttpResponse> respondAsOldNode()
+    {
+        auto response = makeResponse(200, "application/json", "");
+        response.message.set("Geraniumsail-Proof-Age-Ms", "0");
+        response.message.set("Geraniumsail-Entries-Age-Ms", "0");
+        response.message.set("Geraniumsail-Store-Revision", "50");
+        co_return response;
+    }
     std::uint64_t version() const
     {
         return m_node->relay.configurationVersion().value();
@@ -232,6 +284,19 @@
         runFor(time);
         return count() - before;
     }
+    unsigned statusOfFeed(std::uint64_t entriesRevision)
+    {
+        unsigned status = 0;
+        m_loop->run(pollFeed(entriesRevision, status));
+        return status;
+    }
+    asio::awaitable<void> pollFeed(std::uint64_t entriesRevision, unsigned &status)
+    {
+        auto request =
+            StoreFeed::buildRequest(Address("127.0.0.1:1"), {ConfigVersion(7), entriesRevision}, milliseconds(100));
+        const auto response = co_await m_node->relay.storeFeed().respond(std::move(request));
+        status = response.message.result_int();
+    }
     void runFor(Duration time)
     {
         const auto end = monotonicNow() + time;
