--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -33,6 +33,21 @@
 else
     failed=$((failed + 1))
 fi
+for arguments in "--seed 4 --rounds 1" "--no-era --seed 3 --rounds 3"; do
+    echo "== the store comes back from an older copy, $arguments"
+    # shellcheck disable=SC2086
+    if python3 tests/soak/restoresoak.py "$build/platform/geraniumsail-relay" $arguments; then
+        passed=$((passed + 1))
+    else
+        failed=$((failed + 1))
+    fi
+done
+echo "== stops while a request lasts longer than the grace time"
+if python3 tests/soak/latestop.py "$build/platform/geraniumsail-relay"; then
+    passed=$((passed + 1))
+else
+    failed=$((failed + 1))
+fi
 echo "== servers that send without end"
 if python3 tests/servers/endlessservers.py "$build/platform/geraniumsail-relay" --form nested-json \
     --form json-of-empty-arrays --form trailers-one-by-one; then
