--- a/tests/soak/leavesoak.py
+++ b/tests/soak/leavesoak.py
@@ -1,12 +1,15 @@
 #!/usr/bin/env python3
 """Leaves of an upstream while the store is down and all nodes end, with real processes.
 
-Usage: leavesoak.py PROGRAM [--leave NAME]... [--end NAME]... [--down SECONDS]
+Usage: leavesoak.py PROGRAM [--leave NAME]... [--end NAME]... [--down SECONDS] [--restore]
 
 The upstream of the first node leaves by a "draining" report or by a deregistration, and repeats it until it is
 acknowledged. Meanwhile the store is down, all processes are stopped or killed, and start again. Then a "ready" report
 from before the leave arrives. Checks that the upstream gets nothing 2.5 s after an acknowledgement, that it is
 acknowledged once the store is back, and that the other upstreams are served. Exit code 1 on a broken promise.
+
+--restore: the leave is acknowledged before the store goes down, only the process of the first node ends, and the store comes
+back from a copy that is older than the leave.
 """
 import argparse
 import asyncio
@@ -31,7 +34,7 @@
 
 class LeaveCase:
     def __init__(self, arguments, leave, end):
-        self.leave, self.end, self.down = leave, end, arguments.down
+        self.leave, self.end, self.down, self.restore = leave, end, arguments.down, arguments.restore
         self.soak = soak.Soak(os.path.abspath(arguments.program), 0, 0, NODES)
         self.upstream = self.soak.nodes[0].upstream
         self.acknowledged_at = None
@@ -70,12 +73,18 @@
                    for node in fleet.nodes for i in range(3)]
         self.upstream.sequence += 1
         late = self.body("ready")
-        fleet.store.refuse = True
+        earlier = fleet.store.copy()
+        fleet.store.refuse = not self.restore
         leaving = asyncio.create_task(self.leave_until_acknowledged())
         await asyncio.sleep(1)
-        await asyncio.gather(*(node.end(ENDS[self.end]) for node in fleet.nodes))
-        await asyncio.gather(*(node.launch() for node in fleet.nodes))
+        fleet.store.refuse = True
+        ending = [first] if self.restore else fleet.nodes
+        await asyncio.gather(*(node.end(ENDS[self.end]) for node in ending))
+        await asyncio.gather(*(node.launch() for node in ending))
         await asyncio.sleep(self.down)
+        if self.restore:
+            fleet.store.restore(earlier)
+            fleet.store.put("op/config", soak.configuration(2, "books"))
         fleet.store.refuse = False
         back_at = time.monotonic()
         await asyncio.sleep(0.3)
@@ -111,6 +120,7 @@
     parser.add_argument("--leave", action="append", choices=LEAVES, help="both by default")
     parser.add_argument("--end", action="append", choices=ENDS, help="both by default")
     parser.add_argument("--down", type=float, default=2.0, help="seconds that the store stays down after the restart")
+    parser.add_argument("--restore", action="store_true")
     arguments = parser.parse_args()
     cases = [LeaveCase(arguments, leave, end)
              for leave in arguments.leave or LEAVES for end in arguments.end or ENDS]
