--- a/tests/platform/storehistorytest.cpp
+++ b/tests/platform/storehistorytest.cpp
@@ -51,6 +51,7 @@
     CPPUNIT_TEST(versionOfAnotherHistoryIsNotMissed);
     CPPUNIT_TEST(entriesOfAnotherHistoryAreFollowed);
     CPPUNIT_TEST(missedVersionsAreNotReadOneByOne);
+    CPPUNIT_TEST(missedVersionsAreNotReadOneByOneByAFallback);
     CPPUNIT_TEST(wrongEraIsCorrected);
     CPPUNIT_TEST(wrongHistoryOfAnotherNodeIsIgnored);
     CPPUNIT_TEST(nodeThatKnowsNoHistoriesIsNotFollowed);
@@ -162,15 +163,24 @@
     void missedVersionsAreNotReadOneByOne()
     {
         startNode();
-        m_store->unavailable = true;
-        runFor(milliseconds(500));
-        for (int i = 8; i < 20; ++i) {
-            m_store->put(ConfigurationKey, configuration(i, 800'000));
+        checkThatTheLastOfManyVersionsIsInForceInTime();
+    }
+
+    // The same at a node that asks the store only because it reaches no other node, and that keeps its position.
+    void missedVersionsAreNotReadOneByOneByAFallback()
+    {
+        std::vector<NodeName> members;
+        for (std::size_t i = 0; i <= StoreReaders::MinMembersToShare; ++i) {
+            const auto entry = entryOf("gone-" + std::to_string(i));
+            members.push_back(entry.node);
+            m_store->put("geraniumsail/nodes/" + entry.node.value(), encodeEntry(entry));
         }
-        m_store->unavailable = false;
-        const auto returnedAt = monotonicNow();
-        m_loop->runUntil([&] { return version() == 19 || monotonicNow() - returnedAt > 2 * ConfigurationLimit; });
-        CPPUNIT_ASSERT(monotonicNow() - returnedAt < ConfigurationLimit);
+        std::string name = "new";
+        while (StoreReaders(NodeName(name)).isReader(members)) {
+            name += 'x';
+        }
+        startNode(name);
+        checkThatTheLastOfManyVersionsIsInForceInTime();
     }
 
     // Guards against a node that takes all later answers for old ones because a single one had a wrong era.
@@ -250,6 +260,18 @@
         // It watches the store only some time after its start.
         runFor(milliseconds(2500));
     }
+    void checkThatTheLastOfManyVersionsIsInForceInTime()
+    {
+        m_store->unavailable = true;
+        runFor(milliseconds(500));
+        for (int i = 8; i < 20; ++i) {
+            m_store->put(ConfigurationKey, configuration(i, 800'000));
+        }
+        m_store->unavailable = false;
+        const auto returnedAt = monotonicNow();
+        m_loop->runUntil([&] { return version() == 19 || monotonicNow() - returnedAt > 2 * ConfigurationLimit; });
+        CPPUNIT_ASSERT(monotonicNow() - returnedAt < ConfigurationLimit);
+    }
     /// A name under which a node follows one of these.
     static std::string followerOf(const std::vector<NodeName> &members)
     {
