Soaks of the configuration: one copy of the rounds and of the arguments

restoresoak.py repeated the rounds, the checks and the arguments of configsoak.py; it now gives the disturbance of a round only.

--- a/tests/soak/configsoak.py
+++ b/tests/soak/configsoak.py
@@ -115,6 +115,12 @@
             self.broken(f"{node.name}: {len(stale)} requests by an old version, the last: {stale[-1]}; "
                         f"faults: {'; '.join(self.faults)}")
 
+    async def disturb(self):
+        """One round of faults and changes, up to the end of the last one."""
+        events = [self.fault() for _ in range(self.random.randint(1, 3))]
+        events += [self.change() for _ in range(self.random.randint(1, 3))]
+        await asyncio.gather(*events)
+
     async def play(self):
         await self.store.start(self.random)
         self.publish()
@@ -122,12 +128,10 @@
         for node in self.nodes:
             await node.start()
         await asyncio.sleep(4)
-        for _ in range(self.rounds):
-            self.faults = []
+        for number in range(self.rounds):
+            self.faults = [f"round {number}"]
             self.calm_since = time.monotonic()
-            events = [self.fault() for _ in range(self.random.randint(1, 3))]
-            events += [self.change() for _ in range(self.random.randint(1, 3))]
-            await asyncio.gather(*events)
+            await self.disturb()
             start = max(self.published + CONFIG_APPLY_SECONDS, self.calm_since + STABLE_SECONDS) + 0.03
             await asyncio.sleep(max(0.0, start - time.monotonic()))
             await asyncio.gather(*(self.probe(node, start + PROBE_SECONDS) for node in self.nodes))
@@ -137,20 +141,27 @@
             task.cancel()
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+def argument_parser(description, rounds, nodes, zones):
+    parser = argparse.ArgumentParser(description=description, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("program")
     parser.add_argument("--seed", type=int, default=random.SystemRandom().randrange(1 << 30))
-    parser.add_argument("--rounds", type=int, default=6)
-    parser.add_argument("--nodes", type=int, default=8)
-    parser.add_argument("--zones", type=int, default=2)
-    arguments = parser.parse_args()
-    soak = ConfigSoak(os.path.abspath(arguments.program), arguments.seed, arguments.rounds, arguments.nodes,
-                      arguments.zones)
+    parser.add_argument("--rounds", type=int, default=rounds)
+    parser.add_argument("--nodes", type=int, default=nodes)
+    parser.add_argument("--zones", type=int, default=zones)
+    return parser
+
+
+def run(soak):
+    """Plays the soak and ends the program."""
     asyncio.run(soak.run())
-    print(f"seed={arguments.seed} probes={soak.probes} problems={len(soak.problems)} logs={soak.folder}")
+    print(f"seed={soak.seed} probes={soak.probes} problems={len(soak.problems)} logs={soak.folder}")
     sys.exit(1 if soak.problems else 0)
 
 
+def main():
+    arguments = argument_parser(__doc__, rounds=6, nodes=8, zones=2).parse_args()
+    run(ConfigSoak(os.path.abspath(arguments.program), arguments.seed, arguments.rounds, arguments.nodes, arguments.zones))
+
+
 if __name__ == "__main__":
     main()
--- a/tests/soak/restoresoak.py
+++ b/tests/soak/restoresoak.py
@@ -10,16 +10,12 @@
 --no-era: the store states no era. --other: every second node runs this program, as in a rolling upgrade.
 Only processes started here are signalled, by their ids. Exit code 1 on a broken promise, with the seed.
 """
-import argparse
 import asyncio
 import os
-import random
-import signal
-import sys
 import time
 
-from configsoak import CONFIG_APPLY_SECONDS, PROBE_SECONDS, STABLE_SECONDS, ConfigSoak
-from soak import SERVICES, configuration
+from configsoak import ConfigSoak, argument_parser, run
+from soak import configuration
 
 MAX_AWAY_SECONDS = 5
 MAX_CUT_SECONDS = 5
@@ -29,7 +25,8 @@
 class RestoreSoak(ConfigSoak):
     def __init__(self, program, seed, rounds, nodes, zones, other):
         super().__init__(program, seed, rounds, nodes, zones)
-        self.other = other
+        for node in self.nodes[1::2]:
+            node.program = other
 
     def write_again(self):
         """As the operator does after the store has lost the newest version."""
@@ -97,35 +94,13 @@
         await self.come_back(earlier)
         self.calm_since = time.monotonic()
 
-    async def play(self):
-        await self.store.start(self.random)
-        self.publish()
-        self.publish()
-        own = self.program
-        for index, node in enumerate(self.nodes):
-            self.program = self.other if self.other and index % 2 else own
-            await node.start()
-        await asyncio.sleep(4)
-        for number in range(self.rounds):
-            self.faults = [f"round {number}"]
-            for _ in range(self.random.choice([1, 1, 2])):
-                await self.drill()
-            start = max(self.published + CONFIG_APPLY_SECONDS, self.calm_since + STABLE_SECONDS) + 0.03
-            await asyncio.sleep(max(0.0, start - time.monotonic()))
-            await asyncio.gather(*(self.probe(node, start + PROBE_SECONDS) for node in self.nodes))
-        for node in self.nodes:
-            await node.end(signal.SIGTERM)
-        for task in self.tasks:
-            task.cancel()
+    async def disturb(self):
+        for _ in range(self.random.choice([1, 1, 2])):
+            await self.drill()
 
 
 def main():
-    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("program")
-    parser.add_argument("--seed", type=int, default=random.SystemRandom().randrange(1 << 30))
-    parser.add_argument("--rounds", type=int, default=4)
-    parser.add_argument("--nodes", type=int, default=16)
-    parser.add_argument("--zones", type=int, default=4)
+    parser = argument_parser(__doc__, rounds=4, nodes=16, zones=4)
     parser.add_argument("--no-era", action="store_true")
     parser.add_argument("--other")
     arguments = parser.parse_args()
@@ -133,9 +108,7 @@
     soak = RestoreSoak(os.path.abspath(arguments.program), arguments.seed, arguments.rounds, arguments.nodes,
                        arguments.zones, other)
     soak.store.states_era = not arguments.no_era
-    asyncio.run(soak.run())
-    print(f"seed={arguments.seed} probes={soak.probes} problems={len(soak.problems)} logs={soak.folder}")
-    sys.exit(1 if soak.problems else 0)
+    run(soak)
 
 
 if __name__ == "__main__":
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -75,6 +75,7 @@
         self.upstream = Upstream(self.name, SERVICES[index % len(SERVICES)], soak.random, soak.ran)
         self.zone = f"z{index % soak.zones}"
         self.process = None
+        self.program = None  # If not that of the soak.
         self.settings = soak.folder / f"{self.name}.json"
         self.caller, self.peer, self.ready, self.announce, self.metrics = (free_address(soak.host) for _ in range(5))
 
@@ -97,8 +98,8 @@
 
     async def launch(self):
         log = open(self.soak.folder / f"{self.name}.log", "ab")
-        self.process = await asyncio.create_subprocess_exec(self.soak.program, "--settings", str(self.settings),
-                                                            stdout=log, stderr=log)
+        self.process = await asyncio.create_subprocess_exec(self.program or self.soak.program, "--settings",
+                                                            str(self.settings), stdout=log, stderr=log)
         log.close()
         self.ending = False
         self.soak.tasks.append(asyncio.create_task(self.watch(self.process)))
